--- a/primrosewood/backends.py
+++ b/primrosewood/backends.py
@@ -8,10 +8,14 @@
 import aiohttp
 import msgspec
 
-from .errors import ErrorKind, NotRunError, PrimrosewoodError
+from .errors import (
+    BackendCutError,
+    ErrorKind,
+    NotRunError,
+    PrimrosewoodError,
+)
 
 __all__ = (
-    'BackendCutError',
     'CallResult',
     'Engine',
     'EngineCall',
@@ -36,10 +40,6 @@
 )
 
 
-class BackendCutError(PrimrosewoodError):
-    """The connection broke after the call was written."""
-
-
 class StreamUnknownError(PrimrosewoodError):
     """The engine does not know, or no longer has, a stream."""
 
--- /dev/null
+++ b/primrosewood/backendset.py
@@ -0,0 +1,247 @@
+"""What an entry believes of the back ends that it may call directly."""
+
+from dataclasses import dataclass, field
+
+from .shares import ColdLimit, EntryCount
+
+__all__ = ('Backend', 'BackendRecord', 'BackendSet', 'EngineState')
+
+# Records that lapsed while the key-value service was away are written again
+# within two seconds of its return, by the platform's word; a little is added
+# for the listing that shows it.
+_REWRITE_SECONDS = 2.3
+# A removal this long after the last unanswered call may still be one that
+# lapsed then: the service may have come back for others earlier than for us.
+_DISTURBED_SECONDS = 3.0
+# A back end that refused a connection is passed over for so long while others
+# can take the work; the platform restarts a process in about a second.
+_SUSPECT_SECONDS = 1.0
+# Back ends of a failure domain that has just been let in again may be cold
+# before their own record says so: their records are written every 1.2 s.
+_RETURN_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class BackendRecord:
+    """A back end as it registers itself.
+
+    Attributes
+    ----------
+    address
+        ``host:port``.
+    slots
+        Calls that it works on at the same time.
+    cold_seconds
+        How much longer it is cold, as it said when it wrote the record.
+    boot
+        Start of its process; another one under the same name remembers
+        nothing.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool = False
+    cold_seconds: float = 0
+    boot: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """An engine's own report, read beside it.
+
+    Attributes
+    ----------
+    used_tokens, total_tokens
+        Memory that cannot be freed, and all of it.
+    leaving
+        Whether the engine is about to go.
+    """
+
+    running: int = 0
+    queued: int = 0
+    used_tokens: int = 0
+    total_tokens: int = 0
+    leaving: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    """One back end with what this entry has open there.
+
+    Attributes
+    ----------
+    open_calls, open_tokens
+        This entry's calls, and the tokens they may come to hold.
+    unread_tokens
+        Prompts of this entry's calls that have not had their first event.
+    unreported_tokens, unreported_prompts
+        What was opened after the last report was read: tokens in all, and
+        those of prompts.
+    state_at, suspect_until, cold_until
+        Monotonic seconds.
+    """
+
+    record: BackendRecord
+    cold_limit: ColdLimit
+    open_calls: int = 0
+    open_tokens: int = 0
+    unread_tokens: int = 0
+    unreported_tokens: int = 0
+    unreported_prompts: int = 0
+    state: EngineState | None = None
+    state_at: float = 0
+    leaving: bool = False
+    suspect_until: float = 0
+    cold_until: float = 0
+
+    @property
+    def name(self) -> str:
+        """Name under which it registered."""
+        return self.record.name
+
+    @property
+    def stopping(self) -> bool:
+        """Whether any source says that it takes no new work."""
+        reported = self.state is not None and self.state.leaving
+        return self.leaving or reported or self.record.draining
+
+    def report_age(self, now: float) -> float | None:
+        """Return seconds since the last report, None without one."""
+        return None if self.state is None else now - self.state_at
+
+    def take_state(self, state: EngineState, now: float) -> None:
+        """Note the engine's own report."""
+        self.state = state
+        self.state_at = now
+        self.unreported_tokens = 0
+        self.unreported_prompts = 0
+
+    def suspect(self, now: float) -> None:
+        """Pass it over for a while."""
+        self.suspect_until = now + _SUSPECT_SECONDS
+
+
+@dataclass(slots=True)
+class _Disturbance:
+    """When the key-value service last failed, and answered again."""
+
+    failed_at: float = float('-inf')
+    answering_since: float = 0
+    answering: bool = False
+
+
+@dataclass(slots=True)
+class BackendSet:
+    """All back ends that this entry knows.
+
+    Attributes
+    ----------
+    evacuated
+        Failure domains that operators have taken out.
+    """
+
+    entries: EntryCount
+    evacuated: frozenset[str] = frozenset()
+    _backends: dict[str, Backend] = field(default_factory=dict)
+    _missing: set[str] = field(default_factory=set)
+    _returned: dict[str, float] = field(default_factory=dict)
+    _disturbance: _Disturbance = field(default_factory=_Disturbance)
+
+    @property
+    def backends(self) -> list[Backend]:
+        """All back ends, stopping ones included."""
+        return list(self._backends.values())
+
+    def take(self, record: BackendRecord, now: float) -> Backend:
+        """Note a back end's record."""
+        self._missing.discard(record.name)
+        known = self._backends.get(record.name)
+        if known is None or known.record.boot != record.boot:
+            known = Backend(record, ColdLimit(self.entries))
+            self._backends[record.name] = known
+        known.record = record
+        if record.cold_seconds:
+            known.cold_until = now + record.cold_seconds
+        return known
+
+    def remove(self, name: str, now: float) -> bool:
+        """Note that a record is gone; tell whether it counts at once.
+
+        A record that is removed in quiet times belongs to a back end that
+        leaves without saying so.  One that is gone during or after an outage
+        of the key-value service may only have lapsed: its back end serves on,
+        and to drop all of them would leave callers without any.
+        """
+        if name not in self._backends:
+            return True
+        if self._is_disturbed(now):
+            self._missing.add(name)
+            return False
+        self._drop(name)
+        return True
+
+    def note_store(self, answered: bool, now: float) -> None:
+        """Note whether the key-value service answered a call."""
+        seen = self._disturbance
+        if answered and not seen.answering:
+            seen.answering_since = now
+        if not answered:
+            seen.failed_at = now
+        seen.answering = answered
+
+    def settle(self, now: float) -> list[str]:
+        """Drop what has stayed missing after an outage; return the names."""
+        seen = self._disturbance
+        settled = now >= seen.answering_since + _REWRITE_SECONDS
+        if not self._missing or not seen.answering or not settled:
+            return []
+        gone = sorted(self._missing)
+        for name in gone:
+            self._drop(name)
+        return gone
+
+    def take_evacuated(self, domains: frozenset[str], now: float) -> None:
+        """Note which failure domains are out."""
+        for domain in self.evacuated - domains:
+            self._returned[domain] = now
+        self.evacuated = domains
+
+    def find(self, name: str) -> Backend | None:
+        """Return a back end by its name."""
+        return self._backends.get(name)
+
+    def find_address(self, address: str) -> Backend | None:
+        """Return the back end that registered an address last."""
+        for backend in reversed(self._backends.values()):
+            if backend.record.address == address:
+                return backend
+        return None
+
+    def usable(self, service: str) -> list[Backend]:
+        """Return the back ends of a service that may get new work."""
+        return [
+            backend
+            for backend in self._backends.values()
+            if backend.record.service == service
+            and not backend.stopping
+            and backend.record.failure_domain not in self.evacuated
+        ]
+
+    def is_cold(self, backend: Backend, now: float) -> bool:
+        """Tell whether a back end is cold, or may be."""
+        returned = self._returned.get(backend.record.failure_domain)
+        recent = returned is not None and now < returned + _RETURN_SECONDS
+        return recent or now < backend.cold_until
+
+    def _is_disturbed(self, now: float) -> bool:
+        seen = self._disturbance
+        return not seen.answering or now < seen.failed_at + _DISTURBED_SECONDS
+
+    def _drop(self, name: str) -> None:
+        self._missing.discard(name)
+        backend = self._backends.pop(name)
+        # Whoever still holds it must see that it takes no new work.
+        backend.leaving = True
--- /dev/null
+++ b/primrosewood/callplacement.py
@@ -0,0 +1,300 @@
+"""Where a direct call goes, what that is reckoned to cost, and what is next.
+
+One object for all calls of an entry: it keeps the budgets of repeats and the
+shares of cold limits, which hold over calls.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from .backendset import Backend, BackendSet
+from .balancing import Balancer, BookedTokens, Booking, Placing
+from .clock import Clock, RandomSource
+from .directcalls import DirectCall
+from .errors import (
+    BackendCutError,
+    ErrorKind,
+    NotRunError,
+    RequestFailedError,
+)
+from .events import StreamOrder
+from .lengths import LengthBook
+from .logs import log_decision
+from .metrics import Metrics
+from .routes import EngineTraits, ServiceTraits, TableHolder
+from .shares import EntryCount, RepeatBudget, RepeatRule
+
+__all__ = ('CallPlacement', 'CallProgress', 'PlacementTools', 'RelayRules')
+
+# Sends of one call, whatever the budget: a call that three back ends refused
+# is better off with an honest refusal and a time to come back.
+_MOST_SENDS = 4
+# Callers come back spread over this span, in seconds.
+_RETURN_SECONDS = 0.5
+_RETURN_SPREAD = 0.5
+# Share of the newest prompt in the mean of all: about the last twenty count.
+_PROMPT_WEIGHT = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class RelayRules:
+    """Bounds that hold for all entries together.
+
+    Attributes
+    ----------
+    cold_factor, cold_slack
+        A cold back end gets at most its own rate times the factor, plus the
+        slack, in any second.
+    """
+
+    failure_domain: str
+    repeats: RepeatRule = RepeatRule()
+    cold_factor: float = 1.5
+    cold_slack: float = 5
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementTools:
+    """What placement works with."""
+
+    rules: RelayRules
+    tables: TableHolder
+    backends: BackendSet
+    entries: EntryCount
+    balancer: Balancer
+    random: RandomSource
+    clock: Clock
+    metrics: Metrics
+    lengths: LengthBook = field(default_factory=LengthBook)
+
+
+@dataclass(slots=True)
+class CallProgress:
+    """One call on its way.
+
+    Attributes
+    ----------
+    ran
+        Back ends that may have run it.
+    refused
+        Back ends that did not take it, or failed.
+    begun
+        Whether part of the answer was handed on.
+    """
+
+    call: DirectCall
+    sends: int = 0
+    ran: int = 0
+    refused: set[str] = field(default_factory=set)
+    order: StreamOrder = field(default_factory=StreamOrder)
+    begun: bool = False
+
+
+class CallPlacement:
+    """Chooses a back end for each call, and decides on repeats."""
+
+    def __init__(self, tools: PlacementTools) -> None:
+        """Take the tools."""
+        self._tools = tools
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._mean_prompt = 0.0
+
+    def note_arrival(self, call: DirectCall) -> None:
+        """Count a caller's request."""
+        self._budget(call.service).note_request(self._now())
+        if call.size is not None:
+            more = call.size.prompt_tokens - self._mean_prompt
+            self._mean_prompt += _PROMPT_WEIGHT * more
+
+    def choose(self, progress: CallProgress) -> Backend:
+        """Return the back end that gets a call.
+
+        Raises
+        ------
+        RequestFailedError
+            There is none that may get it.
+        """
+        call = progress.call
+        now = self._now()
+        candidates = [
+            backend
+            for backend in self._tools.backends.usable(call.service)
+            if backend.name not in progress.refused
+            and self._bears(backend, now)
+        ]
+        if not candidates:
+            raise self.end(progress, ErrorKind.no_endpoint)
+        placing = self._placing(call, now)
+        chosen = self._tools.balancer.choose(candidates, placing)
+        log_decision(
+            'sent',
+            request=call.name,
+            route=call.route.name,
+            organisation=call.organisation,
+            endpoint=chosen.name,
+            boot=chosen.record.boot,
+            version=self._tools.tables.version,
+            seen=len(candidates),
+            open=chosen.open_calls,
+            report_age=chosen.report_age(now),
+            left=call.deadline - now,
+        )
+        return chosen
+
+    def reconsider(
+        self, progress: CallProgress, backend: Backend, error: Exception
+    ) -> None:
+        """Return when the call may be sent again.
+
+        Raises
+        ------
+        RequestFailedError
+            With the end of the call, where it may not.
+        """
+        call = progress.call
+        progress.refused.add(backend.name)
+        doubtful = isinstance(error, BackendCutError)
+        if doubtful:
+            progress.ran += 1
+        self._tools.metrics.count('sends_failed', type(error).__name__)
+        log_decision(
+            'send_failed',
+            request=call.name,
+            endpoint=backend.name,
+            why=error,
+            doubtful=doubtful,
+        )
+        final = doubtful and not call.route.repeatable
+        if final or progress.ran >= call.route.max_endpoints:
+            raise self.end(progress, ErrorKind.outcome_unknown, error)
+        spent = self._budget(call.service).spend(self._now())
+        if progress.sends >= _MOST_SENDS or not spent:
+            raise self.end(progress, ErrorKind.overloaded, error)
+
+    def end(
+        self,
+        progress: CallProgress,
+        kind: ErrorKind,
+        error: Exception | None = None,
+    ) -> RequestFailedError:
+        """Return the end of a call that failed, and log it."""
+        call = progress.call
+        if progress.begun:
+            kind = ErrorKind.generation_lost
+        elif progress.ran and kind != ErrorKind.deadline_exceeded:
+            # It may have run: no answer may promise that it did not.
+            kind = ErrorKind.outcome_unknown
+        log_decision(
+            'call_failed',
+            request=call.name,
+            route=call.route.name,
+            kind=kind.value,
+            why=error,
+            sends=progress.sends,
+            last_event=progress.order.last,
+            seconds=self._now() - call.arrived,
+        )
+        self._tools.metrics.count('calls_failed', kind.value)
+        # Calls that were refused at the same moment come back spread out.
+        spread = _RETURN_SPREAD * self._tools.random.random()
+        return RequestFailedError(kind, retry_seconds=_RETURN_SECONDS + spread)
+
+    @contextmanager
+    def book(
+        self, progress: CallProgress, backend: Backend, resumed: bool = False
+    ) -> Iterator[Booking]:
+        """Count a call at its back end while it is open there."""
+        now = self._now()
+        call = progress.call
+        backend.cold_limit.note(now)
+        progress.sends += 1
+        if resumed:
+            self._budget(call.service).spend(now)
+        booking = Booking(backend, self._tokens(call), resumed)
+        try:
+            yield booking
+        except (NotRunError, BackendCutError):
+            backend.suspect(self._now())
+            raise
+        finally:
+            booking.release()
+            self._tools.metrics.record('send', self._now() - now)
+
+    def learn(self, progress: CallProgress) -> None:
+        """Learn from the length of a complete stream."""
+        traits = self.engine_traits(progress.call.service)
+        if traits is None or progress.order.last is None:
+            return
+        length = progress.order.last * traits.event_tokens
+        self._tools.lengths.observe(_group(progress.call), length)
+
+    def find_address(self, progress: CallProgress, address: str) -> Backend:
+        """Return the back end at an address.
+
+        Raises
+        ------
+        RequestFailedError
+            It is not known here, so that it cannot be named in the call.
+        """
+        backend = self._tools.backends.find_address(address)
+        if backend is None:
+            raise self.end(progress, ErrorKind.outcome_unknown)
+        return backend
+
+    def engine_traits(self, service: str) -> EngineTraits | None:
+        """Return what a service's engines can do, None for plain ones."""
+        traits = self._traits(service)
+        return traits.engine if traits else None
+
+    def _placing(self, call: DirectCall, now: float) -> Placing:
+        traits = self.engine_traits(call.service)
+        return Placing(
+            failure_domain=self._tools.rules.failure_domain,
+            now=now,
+            tokens=self._tokens(call),
+            memory_tokens=traits.memory_tokens if traits else 0,
+            mean_prompt=self._mean_prompt,
+        )
+
+    def _bears(self, backend: Backend, now: float) -> bool:
+        """Tell whether a back end is warm, or its cold limit has room."""
+        traits = self._traits(backend.record.service)
+        if traits is None or not traits.cold_rate:
+            return True
+        if not self._tools.backends.is_cold(backend, now):
+            return True
+        rules = self._tools.rules
+        rate = traits.cold_rate * rules.cold_factor + rules.cold_slack
+        return backend.cold_limit.has_room(rate, now)
+
+    def _tokens(self, call: DirectCall) -> BookedTokens | None:
+        size = call.size
+        if size is None:
+            return None
+        answer = size.hint
+        if not answer:
+            outlook = self._tools.lengths.predict(_group(call), 0)
+            answer = int(outlook.remaining)
+        if size.most_tokens:
+            answer = min(answer, size.most_tokens)
+        return BookedTokens(size.prompt_tokens, answer)
+
+    def _traits(self, service: str) -> ServiceTraits | None:
+        table = self._tools.tables.table
+        return table.services.get(service) if table else None
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            rule = self._tools.rules.repeats
+            budget = RepeatBudget(rule, self._tools.entries)
+            self._budgets[service] = budget
+        return budget
+
+    def _now(self) -> float:
+        return self._tools.clock.monotonic()
+
+
+def _group(call: DirectCall) -> tuple[str, ...]:
+    return (call.service, call.route.name, call.organisation)
--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -37,6 +37,10 @@
         wire.Cancel: 17,
         wire.ClaimAsk: 18,
         wire.ClaimTold: 19,
+        wire.EngineReport: 20,
+        wire.RoomAsk: 21,
+        wire.RoomTold: 22,
+        wire.RunMoved: 23,
     }
 )
 _TYPES = MappingProxyType({code: kind for kind, code in _CODES.items()})
--- a/primrosewood/config.py
+++ b/primrosewood/config.py
@@ -11,9 +11,16 @@
 
 from .errors import SettingsInvalidError
 from .gen_keys import Keys
+from .gen_node import NodeSettings
 from .gen_process import ProcessSettings, TlsSettings
 
-__all__ = ('ProcessConfig', 'check_document', 'load_config', 'make_contexts')
+__all__ = (
+    'ProcessConfig',
+    'check_document',
+    'load_config',
+    'load_node',
+    'make_contexts',
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +74,29 @@
     return ProcessConfig(settings, msgspec.convert(keys, Keys), file.parent)
 
 
+def load_node(path: str, role: str) -> NodeSettings:
+    """Read and check the settings of a process that calls back ends directly.
+
+    Parameters
+    ----------
+    path
+        JSON file.
+    role
+        Section that the process needs: ``entry`` or ``endpoint``.
+
+    Raises
+    ------
+    SettingsInvalidError
+        The file is missing, is no JSON or does not match its schema.
+    """
+    document = _read_json(Path(path))
+    check_document(document, 'node')
+    settings = msgspec.convert(document, NodeSettings)
+    if not getattr(settings, role):
+        raise SettingsInvalidError([f'/{role}: this section is missing'])
+    return settings
+
+
 def make_contexts(
     tls: TlsSettings | None, folder: Path
 ) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
--- a/primrosewood/endpoint.py
+++ b/primrosewood/endpoint.py
@@ -7,9 +7,10 @@
 
 from . import gen_wire as wire
 from .announce import Announcer, make_member
-from .backends import BackendCutError, HttpEngine, HttpService
+from .backends import HttpEngine, HttpService
 from .clock import SystemClock
 from .config import ProcessConfig, make_contexts
+from .errors import BackendCutError
 from .etcd import EtcdKeyValue
 from .gen_stored import MemberRecord
 from .identity import make_identifier
@@ -18,7 +19,7 @@
 from .metrics import Metrics
 from .process import run_process, spawn
 from .settings import SETTINGS_PREFIX, SettingsStore
-from .watcher import Watcher
+from .watcher import Watcher, WatchPace
 from .worker import Place, Worker
 
 __all__ = ('EndpointProcess', 'main', 'run')
@@ -115,7 +116,10 @@
         # holds no watch; slow polls cover the time without connections.
         seconds = self._settings.timing.poll_seconds * _POLL_FACTOR
         watcher = Watcher(
-            self._key_value, SETTINGS_PREFIX, seconds, self._store.take_pair
+            self._key_value,
+            SETTINGS_PREFIX,
+            WatchPace(seconds),
+            self._store.take_pair,
         )
         await watcher.run(watch=False)
 
--- /dev/null
+++ b/primrosewood/enginekeeper.py
@@ -0,0 +1,283 @@
+"""The process beside an engine: tells its report, and moves what runs there.
+
+It sees the engine's notice first, within one reading of its report, and it is
+the one place that orders moves off that engine.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from . import gen_wire as wire
+from .backendset import EngineState
+from .clock import Clock
+from .codec import Message
+from .enginelink import EngineLinkServer
+from .errors import BackendCutError, ErrorKind, NotRunError
+from .logs import log_decision, log_event
+from .metrics import Metrics
+from .moves import (
+    EngineRun,
+    MoveTarget,
+    choose_target,
+    plan_moves,
+    take_room,
+)
+
+__all__ = ('EngineKeeper', 'EngineReading', 'KeeperPlace', 'MovableEngine')
+
+# A notice is 1.5 to 2.1 s; reading the report twenty times a second costs the
+# local process a fiftieth of a core and shows it within 0.05 s.
+_READ_SECONDS = 0.05
+# Reports go to every entry, over links between failure domains too, whose
+# bytes are dear: at most five a second when something changed, two otherwise.
+_TELL_SECONDS = 0.2
+_BEAT_SECONDS = 0.5
+_ROOM_SECONDS = 0.25
+_MOST_TRIES = 3
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReading:
+    """An engine's report and what runs there.
+
+    Attributes
+    ----------
+    leaves_in
+        Seconds until it goes, None when it does not say.
+    """
+
+    state: EngineState
+    runs: tuple[EngineRun, ...] = ()
+    leaves_in: float | None = None
+
+
+class MovableEngine(Protocol):
+    """The engine beside this process."""
+
+    @property
+    def address(self) -> str:
+        """Address as ``host:port``."""
+
+    async def read(self) -> EngineReading:
+        """Return the report.
+
+        Raises
+        ------
+        BackendCutError
+            The engine does not answer.
+        """
+
+    async def copy(self, run: EngineRun, target: str, last: bool) -> str:
+        """Copy a generation to another engine and return the handle.
+
+        Parameters
+        ----------
+        last
+            Whether to stop it here, so that it goes on there.
+
+        Raises
+        ------
+        NotRunError
+            It does not run here any more, or the target has no room.
+        BackendCutError
+            The engine does not answer.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperPlace:
+    """Where the keeper stands."""
+
+    service: str
+    failure_domain: str
+
+
+class EngineKeeper:
+    """Follows one engine and moves its generations when it leaves."""
+
+    def __init__(
+        self,
+        engine: MovableEngine,
+        place: KeeperPlace,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Start without a report."""
+        self._engine = engine
+        self._place = place
+        self._clock = clock
+        self._metrics = metrics
+        self._told: wire.EngineReport | None = None
+        self._told_at = float('-inf')
+        self._reading: EngineReading | None = None
+        self._room: asyncio.Future[list[MoveTarget]] | None = None
+        self._done: set[str] = set()
+        self._moving: asyncio.Task | None = None
+        self.server: EngineLinkServer | None = None
+
+    @property
+    def needed(self) -> bool:
+        """Whether there is an engine with something to move or to tell."""
+        if self._moving is not None:
+            return True
+        return self._reading is not None and bool(self._reading.runs)
+
+    async def run(self) -> None:
+        """Follow the engine until cancelled."""
+        while True:
+            try:
+                reading = await self._engine.read()
+            except BackendCutError as error:
+                self._lose_engine(error)
+            else:
+                self._take(reading)
+            await asyncio.sleep(_READ_SECONDS)
+
+    def handle(self, message: Message) -> None:
+        """Act on an entry's message."""
+        if not isinstance(message, wire.RoomTold):
+            return
+        if self._room is not None and not self._room.done():
+            self._room.set_result(
+                [
+                    MoveTarget(
+                        each.address, each.failure_domain, each.free_tokens
+                    )
+                    for each in message.engines
+                ]
+            )
+
+    def _lose_engine(self, error: BackendCutError) -> None:
+        if self._reading is not None:
+            log_event('engine_lost', 'WARNING', why=error)
+        self._reading = None
+        self._done.clear()
+
+    def _take(self, reading: EngineReading) -> None:
+        if self._reading is None:
+            log_event('engine_found', address=self._engine.address)
+        was_leaving = self._reading and self._reading.state.leaving
+        self._reading = reading
+        leaving = reading.state.leaving
+        self._tell(reading, at_once=leaving and not was_leaving)
+        if leaving and not was_leaving:
+            log_decision(
+                'engine_leaves',
+                leaves_in=reading.leaves_in,
+                runs=len(reading.runs),
+            )
+        if leaving and reading.runs and self._moving is None:
+            self._moving = asyncio.create_task(self._move_all())
+
+    def _tell(self, reading: EngineReading, at_once: bool) -> None:
+        now = self._clock.monotonic()
+        state = reading.state
+        report = wire.EngineReport(
+            running=state.running,
+            queued=state.queued,
+            used_tokens=state.used_tokens,
+            total_tokens=state.total_tokens,
+            leaving=state.leaving,
+            entries=self.server.entries,
+        )
+        silent = now - self._told_at
+        changed = report != self._told and silent >= _TELL_SECONDS
+        if at_once or changed or silent >= _BEAT_SECONDS:
+            self._told, self._told_at = report, now
+            self.server.broadcast(report)
+
+    async def _move_all(self) -> None:
+        """Move what runs here, one after another, until nothing is left."""
+        try:
+            targets = await self._ask_room()
+            while self._reading is not None:
+                runs = self._left_to_move(self._reading.runs)
+                if not runs or not targets:
+                    return
+                targets = await self._move(runs[0], targets)
+        finally:
+            self._moving = None
+
+    def _left_to_move(self, runs: Sequence[EngineRun]) -> list[EngineRun]:
+        return plan_moves([run for run in runs if run.name not in self._done])
+
+    async def _ask_room(self) -> list[MoveTarget]:
+        self._room = asyncio.get_running_loop().create_future()
+        self.server.broadcast(wire.RoomAsk(self._place.service))
+        try:
+            async with asyncio.timeout(_ROOM_SECONDS):
+                return await self._room
+        except TimeoutError:
+            log_event('no_entry_told_room', 'WARNING')
+            return []
+        finally:
+            self._room = None
+
+    async def _move(
+        self, run: EngineRun, targets: list[MoveTarget]
+    ) -> list[MoveTarget]:
+        """Move one generation; return the targets with the room left."""
+        self._done.add(run.name)
+        for _ in range(_MOST_TRIES):
+            target = choose_target(run, targets, self._place.failure_domain)
+            if target is None:
+                break
+            try:
+                handle = await self._copy(run, target.address)
+            except (NotRunError, BackendCutError) as error:
+                self._note_failure(run, target, error)
+                if _has_ended(error):
+                    return targets
+                # Its room was told wrong, or it cannot be reached.
+                targets = take_room(targets, target.address, target.free_tokens)
+                continue
+            self._tell_move(run, target.address, handle)
+            return take_room(targets, target.address, run.tokens)
+        self._tell_move(run, '', '')
+        return targets
+
+    async def _copy(self, run: EngineRun, target: str) -> str:
+        started = self._clock.monotonic()
+        await self._engine.copy(run, target, last=False)
+        handle = await self._engine.copy(run, target, last=True)
+        self._metrics.record('move', self._clock.monotonic() - started)
+        return handle
+
+    def _tell_move(self, run: EngineRun, target: str, handle: str) -> None:
+        self._metrics.count('moves', 'moved' if handle else 'stays')
+        log_decision(
+            'moved' if handle else 'not_moved',
+            request=run.name,
+            target=target or None,
+            tokens=run.tokens,
+            events=run.events,
+        )
+        self.server.broadcast(
+            wire.RunMoved(
+                attempt=run.name,
+                source=self._engine.address,
+                handle=handle,
+                target=target,
+            )
+        )
+
+    def _note_failure(
+        self, run: EngineRun, target: MoveTarget, error: Exception
+    ) -> None:
+        log_event(
+            'move_failed',
+            'WARNING',
+            request=run.name,
+            target=target.address,
+            tokens=run.tokens,
+            free=target.free_tokens,
+            why=error,
+        )
+
+
+def _has_ended(error: Exception) -> bool:
+    """Tell whether a generation needs no move, as it is complete."""
+    kind = getattr(error, 'kind', None)
+    return kind is ErrorKind.answer_expired
--- /dev/null
+++ b/primrosewood/enginelink.py
@@ -0,0 +1,219 @@
+"""Links between entries and the processes beside engines, for direct calls.
+
+The process beside an engine listens; every entry connects to it.  It tells
+the engine's own report, which entries could otherwise read only half a second
+late, and which generations it moved where.
+"""
+
+import asyncio
+import hmac
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+
+import websockets
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+
+from . import gen_wire as wire
+from .clock import Clock
+from .codec import Message, parse_frame, serialise_frame
+from .errors import WireError
+from .link import Link
+from .logs import log_event
+from .process import spawn
+
+__all__ = ('EngineLink', 'EngineLinkServer', 'LinkIdentity')
+
+_HANDSHAKE_SECONDS = 1.0
+_LONGEST_FRAME = 262_144
+# Reports come at least twice a second; a link without any for this long leads
+# to a process that is stopped, or has lost its network without a reset.
+_SILENCE_SECONDS = 2.0
+_RECONNECT_SECONDS = 0.3
+_UNAUTHENTICATED = 1008
+
+
+@dataclass(frozen=True, slots=True)
+class LinkIdentity:
+    """How a process greets.
+
+    Attributes
+    ----------
+    key
+        Shared by all processes of a deployment.
+    """
+
+    name: str
+    incarnation: str
+    key: str
+
+
+class EngineLink:
+    """An entry's connection to the process beside one engine.
+
+    Parameters
+    ----------
+    url
+        Where that process listens.
+    handle
+        Called with each message, and with the link to answer on.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        identity: LinkIdentity,
+        clock: Clock,
+        handle: Callable[[Message, Link], None],
+    ) -> None:
+        """Connect, and connect again whenever the connection ends."""
+        self._url = url
+        self._identity = identity
+        self._clock = clock
+        self._handle = handle
+        self._heard_at = clock.monotonic()
+        self._link: Link | None = None
+        self._task = spawn(self._run(), f'link to {url}')
+
+    @property
+    def connected(self) -> bool:
+        """Whether the process beside the engine is heard."""
+        return self._link is not None
+
+    def check_silence(self) -> None:
+        """Give up a connection whose peer has said nothing for too long.
+
+        A connection that a cut has silenced is never reset; without this the
+        entry would wait for reports of an engine that left long ago.
+        """
+        link = self._link
+        silence = self._clock.monotonic() - self._heard_at
+        if link is not None and silence > _SILENCE_SECONDS:
+            log_event('link_silent', 'WARNING', peer=self._url)
+            self._link = None
+            spawn(link.abort(), 'abort link')
+
+    def stop(self) -> None:
+        """End the connection."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._connect_once()
+            except _CONNECT_ERRORS as error:
+                log_event(
+                    'link_failed',
+                    'DEBUG',
+                    peer=self._url,
+                    why=type(error).__name__,
+                )
+            await asyncio.sleep(_RECONNECT_SECONDS)
+
+    async def _connect_once(self) -> None:
+        async with connect(
+            self._url,
+            compression=None,
+            ping_interval=None,
+            open_timeout=_HANDSHAKE_SECONDS,
+            close_timeout=_HANDSHAKE_SECONDS,
+            max_size=_LONGEST_FRAME,
+            proxy=None,
+        ) as socket:
+            identity = self._identity
+            hello = wire.Hello(
+                process=identity.name,
+                incarnation=identity.incarnation,
+                key=identity.key,
+            )
+            await socket.send(serialise_frame([hello]))
+            link = Link(socket)
+            self._heard_at = self._clock.monotonic()
+            self._link = link
+            log_event('link_opened', peer=self._url)
+            try:
+                await link.run(lambda message: self._take(message, link))
+            finally:
+                if self._link is link:
+                    self._link = None
+                log_event('link_closed', peer=self._url)
+
+    def _take(self, message: Message, link: Link) -> None:
+        self._heard_at = self._clock.monotonic()
+        self._handle(message, link)
+
+
+class EngineLinkServer:
+    """Accepts the links of entries.
+
+    Parameters
+    ----------
+    handle
+        Called with each message of an entry.
+    """
+
+    def __init__(self, key: str, handle: Callable[[Message], None]) -> None:
+        """Start without links."""
+        self._key = key.encode()
+        self._handle = handle
+        self._links: dict[Link, str] = {}
+
+    @property
+    def entries(self) -> int:
+        """Number of entries that are connected."""
+        return len(set(self._links.values()))
+
+    def listen(
+        self, host: str, port: int
+    ) -> AbstractAsyncContextManager[Server]:
+        """Return the server; entering it opens the port."""
+        return serve(
+            self._serve,
+            host,
+            port,
+            compression=None,
+            ping_interval=None,
+            max_size=_LONGEST_FRAME,
+        )
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to every entry."""
+        for link in self._links:
+            link.send(message)
+
+    async def _serve(self, socket: ServerConnection) -> None:
+        try:
+            hello = await self._greet(socket)
+        except (WireError, TimeoutError, websockets.ConnectionClosed) as error:
+            log_event('link_refused', 'WARNING', why=type(error).__name__)
+            await socket.close(_UNAUTHENTICATED)
+            return
+        link = Link(socket)
+        self._links[link] = hello.process
+        log_event('link_opened', peer=hello.process, entries=self.entries)
+        try:
+            await link.run(self._handle)
+        finally:
+            self._links.pop(link)
+            log_event('link_closed', peer=hello.process, entries=self.entries)
+
+    async def _greet(self, socket: ServerConnection) -> wire.Hello:
+        async with asyncio.timeout(_HANDSHAKE_SECONDS):
+            frame = await socket.recv()
+        if isinstance(frame, str):
+            raise WireError('a text frame')
+        messages = parse_frame(frame)
+        if len(messages) != 1 or not isinstance(messages[0], wire.Hello):
+            raise WireError('no greeting')
+        if not hmac.compare_digest(messages[0].key.encode(), self._key):
+            raise WireError('another deployment')
+        return messages[0]
+
+
+_CONNECT_ERRORS = (
+    OSError,
+    TimeoutError,
+    WireError,
+    websockets.WebSocketException,
+)
--- /dev/null
+++ b/primrosewood/engineview.py
@@ -0,0 +1,168 @@
+"""What an entry hears from the processes beside engines."""
+
+from functools import partial
+
+from . import gen_wire as wire
+from .backendset import Backend, BackendSet, EngineState
+from .clock import Clock
+from .codec import Message
+from .enginelink import EngineLink, LinkIdentity
+from .link import Link
+from .logs import log_event
+from .moves import MoveNotice, NoticeBoard
+from .routes import TableHolder
+from .shares import EntryCount
+
+__all__ = ('EngineView',)
+
+# An engine that leaves without a word loses its record first and serves on for
+# some seconds; its moves are told over this link.
+_LINGER_SECONDS = 15.0
+# Room that is offered for moves leaves this share of an engine's memory to
+# what its own generations will still add.
+_OFFERED = 0.9
+
+
+class EngineView:
+    """Links to the process beside each engine, and what they bring.
+
+    Parameters
+    ----------
+    link_port
+        Where these processes listen, each on its engine's VM.
+    """
+
+    def __init__(
+        self,
+        backends: BackendSet,
+        tables: TableHolder,
+        notices: NoticeBoard,
+        entries: EntryCount,
+        identity: LinkIdentity,
+        clock: Clock,
+        link_port: int,
+    ) -> None:
+        """Start without links."""
+        self._backends = backends
+        self._tables = tables
+        self._notices = notices
+        self._entries = entries
+        self._identity = identity
+        self._clock = clock
+        self._link_port = link_port
+        self._links: dict[str, EngineLink] = {}
+        self._told_entries: dict[str, int] = {}
+        self._unlisted: dict[str, float] = {}
+
+    def update(self) -> None:
+        """Link to the engines that are known."""
+        wanted = {
+            backend.record.address
+            for backend in self._backends.backends
+            if self._is_engine(backend)
+        }
+        for missing in wanted - self._links.keys():
+            self._links[missing] = self._open(missing)
+        now = self._clock.monotonic()
+        self._unlisted = {
+            address: self._unlisted.get(address, now)
+            for address in self._links.keys() - wanted
+        }
+
+    def tick(self) -> None:
+        """Give up links that are silent, or whose engine left long ago."""
+        now = self._clock.monotonic()
+        for address, since in list(self._unlisted.items()):
+            if now > since + _LINGER_SECONDS:
+                self._unlisted.pop(address)
+                self._links.pop(address).stop()
+                self._told_entries.pop(address, None)
+        for link in self._links.values():
+            link.check_silence()
+
+    def stop(self) -> None:
+        """End all links."""
+        for link in self._links.values():
+            link.stop()
+
+    def room(self, service: str) -> list[wire.EngineRoom]:
+        """Return the engines of a service that can take generations in."""
+        return [
+            wire.EngineRoom(
+                backend.record.address,
+                backend.record.failure_domain,
+                _free_tokens(backend),
+            )
+            for backend in self._backends.usable(service)
+            if _has_slot(backend)
+        ]
+
+    def _open(self, address: str) -> EngineLink:
+        host = address.partition(':')[0]
+        return EngineLink(
+            f'ws://{host}:{self._link_port}',
+            self._identity,
+            self._clock,
+            partial(self._handle, address),
+        )
+
+    def _is_engine(self, backend: Backend) -> bool:
+        table = self._tables.table
+        traits = table and table.services.get(backend.record.service)
+        return bool(traits and traits.engine)
+
+    def _handle(self, address: str, message: Message, link: Link) -> None:
+        match message:
+            case wire.EngineReport():
+                self._take_report(address, message)
+            case wire.RoomAsk():
+                link.send(wire.RoomTold(self.room(message.service)))
+            case wire.RunMoved():
+                self._notices.post(
+                    MoveNotice(
+                        message.attempt,
+                        message.source,
+                        message.handle,
+                        message.target,
+                    )
+                )
+
+    def _take_report(self, address: str, report: wire.EngineReport) -> None:
+        self._told_entries[address] = report.entries
+        self._entries.take(max(self._told_entries.values()))
+        backend = self._backends.find_address(address)
+        if backend is None:
+            return
+        was_stopping = backend.stopping
+        backend.take_state(
+            EngineState(
+                running=report.running,
+                queued=report.queued,
+                used_tokens=report.used_tokens,
+                total_tokens=report.total_tokens,
+                leaving=report.leaving,
+            ),
+            self._clock.monotonic(),
+        )
+        if backend.stopping != was_stopping:
+            log_event(
+                'endpoint_reported',
+                endpoint=backend.name,
+                leaving=report.leaving,
+                used=report.used_tokens,
+            )
+
+
+def _has_slot(backend: Backend) -> bool:
+    running = backend.state.running if backend.state else backend.open_calls
+    return running < backend.record.slots
+
+
+def _free_tokens(backend: Backend) -> int:
+    state = backend.state
+    if state is None:
+        return 0
+    used = max(
+        state.used_tokens + backend.unreported_tokens, backend.open_tokens
+    )
+    return max(0, int(state.total_tokens * _OFFERED) - used)
--- a/primrosewood/entry.py
+++ b/primrosewood/entry.py
@@ -32,7 +32,7 @@
 from .routing import make_policy
 from .settings import SETTINGS_PREFIX, SettingsStore
 from .vmlist import HttpVmList
-from .watcher import Watcher
+from .watcher import Watcher, WatchPace
 
 __all__ = ('EntryProcess', 'main', 'run')
 
@@ -120,13 +120,13 @@
         settings = Watcher(
             self._key_value,
             SETTINGS_PREFIX,
-            timing.poll_seconds,
+            WatchPace(timing.poll_seconds),
             self._store.take_pair,
         )
         members = Watcher(
             self._key_value,
             MEMBERS_PREFIX,
-            timing.poll_seconds,
+            WatchPace(timing.poll_seconds),
             self._fleet.take_pair,
         )
         tasks = [
--- a/primrosewood/errors.py
+++ b/primrosewood/errors.py
@@ -9,8 +9,10 @@
     'ANSWERS',
     'Answer',
     'AttemptFailedError',
+    'BackendCutError',
     'DoubtError',
     'ErrorKind',
+    'HistoryLostError',
     'NotRunError',
     'PrimrosewoodError',
     'Ran',
@@ -37,6 +39,7 @@
     forbidden = 'forbidden'
     not_found = 'not_found'
     too_large = 'too_large'
+    head_too_large = 'head_too_large'
     conflict = 'conflict'
     key_reused = 'key_reused'
     overloaded = 'overloaded'
@@ -100,6 +103,12 @@
             False,
             'The request is larger than the limit.',
         ),
+        ErrorKind.head_too_large: Answer(
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Ran.no,
+            False,
+            'The headers are larger than the limit.',
+        ),
         ErrorKind.conflict: Answer(
             HTTPStatus.CONFLICT, Ran.no, False, 'Another change came first.'
         ),
@@ -218,6 +227,10 @@
     """A frame from another process could not be read."""
 
 
+class BackendCutError(PrimrosewoodError):
+    """The connection to a back end broke after the call was written."""
+
+
 class StoreUnavailableError(PrimrosewoodError):
     """The key-value service did not answer, or answered with an error.
 
@@ -225,6 +238,10 @@
     """
 
 
+class HistoryLostError(StoreUnavailableError):
+    """The key-value service has dropped the changes that were asked for."""
+
+
 class SettingsInvalidError(PrimrosewoodError):
     """Settings do not match their schema.
 
--- a/primrosewood/etcd.py
+++ b/primrosewood/etcd.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from .errors import StoreUnavailableError
-from .kv import Change, KeyValue, Pair, Swap
+from .kv import Change, KeyValue, Listing, Pair, Swap
 
 __all__ = ('EtcdKeyValue', 'decode_text', 'encode_text', 'end_of_prefix')
 
@@ -62,14 +62,16 @@
 
     async def list_pairs(self, prefix: str, since: int = 0) -> list[Pair]:
         """Return pairs below a prefix, written at ``since`` or later."""
-        query = {
-            'key': encode_text(prefix),
-            'range_end': encode_text(end_of_prefix(prefix)),
-        }
+        query = _below(prefix)
         if since:
             query['min_mod_revision'] = str(since)
         return _to_pairs(await self._call('kv/range', query))
 
+    async def list_all(self, prefix: str) -> Listing:
+        """Return all pairs below a prefix."""
+        found = await self._call('kv/range', _below(prefix))
+        return Listing(_to_pairs(found), _revision(found))
+
     async def swap(
         self, key: str, stored: bytes, expected: int, lease: int = 0
     ) -> Swap:
@@ -169,6 +171,13 @@
     return Change(pair.key, pair.revision, pair)
 
 
+def _below(prefix: str) -> dict[str, str]:
+    return {
+        'key': encode_text(prefix),
+        'range_end': encode_text(end_of_prefix(prefix)),
+    }
+
+
 def _to_pairs(answer: Any) -> list[Pair]:
     return [_to_pair(fields) for fields in answer.get('kvs', ())]
 
--- /dev/null
+++ b/primrosewood/gen_node.py
@@ -0,0 +1,124 @@
+"""Generated from schema/node.json by tools/generate.sh."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import UNSET, Meta, Struct, UnsetType
+
+
+class EndpointNode(Struct, forbid_unknown_fields=True):
+    """
+    The engine beside the process.
+    """
+
+    engine: Annotated[
+        str,
+        Meta(
+            description="The engine's address, as host:port.",
+            pattern='^[0-9.]+:[0-9]{1,5}$',
+        ),
+    ]
+    """
+    The engine's address, as host:port.
+    """
+    service: str
+
+
+class EntryNode(Struct, forbid_unknown_fields=True):
+    """
+    What an entry serves.
+    """
+
+    callers: Annotated[
+        str,
+        Meta(
+            description='Where callers come, as host:port.',
+            pattern='^[0-9.]+:[0-9]{1,5}$',
+        ),
+    ]
+    """
+    Where callers come, as host:port.
+    """
+    ready: Annotated[
+        str,
+        Meta(
+            description='Where the balancer asks, as host:port.',
+            pattern='^[0-9.]+:[0-9]{1,5}$',
+        ),
+    ]
+    """
+    Where the balancer asks, as host:port.
+    """
+
+
+class NodeSettings(Struct, forbid_unknown_fields=True):
+    """
+    Local settings of a process that calls back ends directly.
+    """
+
+    name: Annotated[str, Meta(min_length=1)]
+    host: Annotated[str, Meta(min_length=1)]
+    failure_domain: Annotated[str, Meta(min_length=1)]
+    link_port: Annotated[
+        int,
+        Meta(
+            description='Where the process beside an engine listens, on every VM.',
+            ge=1,
+            le=65535,
+        ),
+    ]
+    """
+    Where the process beside an engine listens, on every VM.
+    """
+    store: Annotated[
+        str,
+        Meta(
+            description='Address of the key-value service, as host:port.',
+            pattern='^[0-9.]+:[0-9]{1,5}$',
+        ),
+    ]
+    """
+    Address of the key-value service, as host:port.
+    """
+    limits: SharedLimits
+    link_key: (
+        Annotated[str, Meta(description='Shared by all processes of a deployment.')]
+        | UnsetType
+    ) = ''
+    """
+    Shared by all processes of a deployment.
+    """
+    metrics_port: (
+        Annotated[int, Meta(description='0 serves no metrics.', ge=0, le=65535)]
+        | UnsetType
+    ) = 0
+    """
+    0 serves no metrics.
+    """
+    entry: EntryNode | UnsetType = UNSET
+    endpoint: EndpointNode | UnsetType = UNSET
+
+
+class SharedLimits(Struct, forbid_unknown_fields=True):
+    """
+    Bounds that hold for all entries together.
+    """
+
+    stop_seconds: Annotated[float, Meta(description='From SIGTERM to SIGKILL.', ge=0.0)]
+    """
+    From SIGTERM to SIGKILL.
+    """
+    repeat_ratio: Annotated[
+        float, Meta(description='Repeats for each request of the window.', ge=0.0)
+    ]
+    """
+    Repeats for each request of the window.
+    """
+    repeat_slack: Annotated[float, Meta(description='Repeats on top of these.', ge=0.0)]
+    """
+    Repeats on top of these.
+    """
+    repeat_window_seconds: Annotated[float, Meta(ge=0.0)]
+    cold_factor: Annotated[float, Meta(ge=0.0)]
+    cold_slack: Annotated[float, Meta(ge=0.0)]
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -83,6 +83,48 @@
     offset: Annotated[int, Meta(ge=0)]
 
 
+class EngineReport(Struct, array_like=True):
+    """
+    An engine's own report, told by the process beside it to every entry.
+    """
+
+    running: Annotated[int, Meta(ge=0)]
+    queued: Annotated[int, Meta(ge=0)]
+    used_tokens: Annotated[int, Meta(description='Memory that cannot be freed.', ge=0)]
+    """
+    Memory that cannot be freed.
+    """
+    total_tokens: Annotated[int, Meta(ge=0)]
+    leaving: (
+        Annotated[bool, Meta(description='The engine is about to go.')] | UnsetType
+    ) = False
+    """
+    The engine is about to go.
+    """
+    entries: (
+        Annotated[
+            int, Meta(description='Entries that are connected to the sender.', ge=0)
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Entries that are connected to the sender.
+    """
+
+
+class EngineRoom(Struct, array_like=True):
+    """
+    An engine with the memory that is free there.
+    """
+
+    address: Annotated[str, Meta(description='host:port')]
+    """
+    host:port
+    """
+    failure_domain: str
+    free_tokens: Annotated[int, Meta(ge=0)]
+
+
 class Failed(Struct, array_like=True):
     attempt: str
     kind: str
@@ -200,6 +242,52 @@
     offset: Annotated[int, Meta(ge=0)]
 
 
+class RoomAsk(Struct, array_like=True):
+    """
+    Asks an entry which engines can take generations in.
+    """
+
+    service: str
+
+
+class RoomTold(Struct, array_like=True):
+    """
+    Answers RoomAsk.
+    """
+
+    engines: list[EngineRoom]
+
+
+class RunMoved(Struct, array_like=True):
+    """
+    A generation was stopped, and goes on from a copy.
+    """
+
+    attempt: Annotated[str, Meta(description="The caller's name for the attempt.")]
+    """
+    The caller's name for the attempt.
+    """
+    source: Annotated[str, Meta(description='Engine that made the copy, as host:port.')]
+    """
+    Engine that made the copy, as host:port.
+    """
+    handle: Annotated[
+        str,
+        Meta(
+            description="The source's name for the copy; empty when the generation could not be moved."
+        ),
+    ]
+    """
+    The source's name for the copy; empty when the generation could not be moved.
+    """
+    target: Annotated[
+        str, Meta(description='Engine that holds the copy, as host:port.')
+    ]
+    """
+    Engine that holds the copy, as host:port.
+    """
+
+
 class SettingsPull(Struct, array_like=True):
     revisions: dict[str, int]
 
--- a/primrosewood/kv.py
+++ b/primrosewood/kv.py
@@ -7,7 +7,7 @@
 
 from .clock import Clock, SystemClock
 
-__all__ = ('Change', 'KeyValue', 'MemoryKeyValue', 'Pair', 'Swap')
+__all__ = ('Change', 'KeyValue', 'Listing', 'MemoryKeyValue', 'Pair', 'Swap')
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +47,21 @@
     pair: Pair | None
 
 
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All pairs below a prefix.
+
+    Attributes
+    ----------
+    revision
+        Of the service when the listing began: a watch from the next one on
+        misses nothing.
+    """
+
+    pairs: list[Pair]
+    revision: int
+
+
 class KeyValue(ABC):
     """Compare-and-swap, leases and watches.
 
@@ -62,6 +77,10 @@
     async def list_pairs(self, prefix: str, since: int = 0) -> list[Pair]:
         """Return pairs below a prefix, written at ``since`` or later."""
 
+    @abstractmethod
+    async def list_all(self, prefix: str) -> Listing:
+        """Return all pairs below a prefix."""
+
     @abstractmethod
     async def swap(
         self, key: str, stored: bytes, expected: int, lease: int = 0
@@ -86,7 +105,13 @@
 
     @abstractmethod
     def watch(self, prefix: str, since: int) -> AsyncIterator[Change]:
-        """Yield changes below a prefix from a revision on, until cut off."""
+        """Yield changes below a prefix from a revision on, until cut off.
+
+        Raises
+        ------
+        HistoryLostError
+            The service no longer has the changes since that revision.
+        """
 
 
 @dataclass(slots=True)
@@ -127,6 +152,11 @@
             if key.startswith(prefix) and pair.revision >= since
         ]
 
+    async def list_all(self, prefix: str) -> Listing:
+        """Return all pairs below a prefix."""
+        revision = self._revision
+        return Listing(await self.list_pairs(prefix), revision)
+
     async def swap(
         self, key: str, stored: bytes, expected: int, lease: int = 0
     ) -> Swap:
--- a/primrosewood/logs.py
+++ b/primrosewood/logs.py
@@ -1,23 +1,35 @@
 """One line of key=value pairs for each event."""
 
 import logging
+import os
+import select
 import sys
+import time
 from datetime import UTC, datetime
 from typing import Any
 
 from loguru import logger
 
-__all__ = ('configure_logs', 'log_decision', 'log_event')
+__all__ = ('LineWriter', 'configure_logs', 'log_decision', 'log_event')
 
 _LONGEST_SAID = 200
+# A request takes about four lines, and an entry answers some hundred requests
+# a second at the most; a fault that logs more than this repeats itself.
+_MOST_LINES = 2000
+_MOST_WAITING = 262_144
 _NEEDS_QUOTES = frozenset(' ="\n\r\t')
 
 
 def configure_logs(process: str, level: str = 'INFO') -> None:
-    """Send log lines of this process to standard error."""
+    """Send log lines of this process to standard output."""
+    writer = LineWriter(sys.stdout.fileno())
     logger.remove()
     logger.configure(extra={'process': process})
-    logger.add(_write_line, level=level, format='{message}')
+    logger.add(
+        lambda message: _write_line(writer, message),
+        level=level,
+        format='{message}',
+    )
     # Libraries log through the standard library; a stranger's broken TLS
     # handshake must be one line of ours and not their stack trace.
     logging.basicConfig(
@@ -53,7 +65,67 @@
         )
 
 
-def _write_line(message: Any) -> None:
+class LineWriter:
+    """Writes lines to a file descriptor and never waits for its reader.
+
+    A log reader that stands still fills the pipe; a process that waited for
+    it would stop answering callers.  Lines beyond the bounds are dropped,
+    counted, and the count is said as soon as there is room again.
+
+    Parameters
+    ----------
+    descriptor
+        Where the lines go.
+    most_a_second
+        Lines that are taken in any one second.
+    """
+
+    def __init__(
+        self, descriptor: int, most_a_second: int = _MOST_LINES
+    ) -> None:
+        """Start with nothing waiting."""
+        self._descriptor = descriptor
+        self._most = most_a_second
+        self._waiting = bytearray()
+        self._dropped = 0
+        self._second = 0
+        self._taken = 0
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+
+    def write(self, line: str, now: float) -> None:
+        """Take a line; ``now`` is in monotonic seconds."""
+        if int(now) != self._second:
+            self._second, self._taken = int(now), 0
+        self._taken += 1
+        full = len(self._waiting) > _MOST_WAITING
+        if full or self._taken > self._most:
+            self._dropped += 1
+        else:
+            self._say_dropped()
+            self._waiting += f'{line}\n'.encode()
+        self._flush()
+
+    def _say_dropped(self) -> None:
+        if self._dropped:
+            said = f'level=warning event=lines_dropped count={self._dropped}\n'
+            self._waiting += said.encode()
+            self._dropped = 0
+
+    def _flush(self) -> None:
+        # A pipe that is writable takes this many bytes without waiting; the
+        # descriptor itself is not made non-blocking, as it may be shared.
+        while self._waiting and self._poll.poll(0):
+            part = self._waiting[: select.PIPE_BUF]
+            try:
+                written = os.write(self._descriptor, part)
+            except OSError:
+                # The reader is gone; there is nobody to tell.
+                written = len(self._waiting)
+            self._waiting = self._waiting[written:]
+
+
+def _write_line(writer: LineWriter, message: Any) -> None:
     record = message.record
     extra = record['extra']
     stamp = datetime.now(UTC).isoformat(timespec='milliseconds')
@@ -69,7 +141,7 @@
         for name, pair in shown.items()
         if pair is not None
     )
-    sys.stderr.write(f'{line}\n')
+    writer.write(line, time.monotonic())
 
 
 def _format(shown: Any) -> str:
--- /dev/null
+++ b/primrosewood/platform/entry.py
@@ -0,0 +1,192 @@
+"""The entry on the platform: callers in front, back ends behind."""
+
+import asyncio
+from functools import partial
+
+from aiohttp import web
+
+from ..backendset import BackendSet
+from ..balancing import LeastPressed
+from ..callplacement import CallPlacement, PlacementTools, RelayRules
+from ..clock import SystemClock, make_random
+from ..enginelink import LinkIdentity
+from ..engineview import EngineView
+from ..gen_node import NodeSettings
+from ..httpserver import HttpLimits, listen, listen_metrics
+from ..identity import make_identifier
+from ..logs import log_event
+from ..metrics import Metrics
+from ..moves import NoticeBoard
+from ..process import spawn
+from ..relay import Relay, RelayTools
+from ..routes import TableHolder
+from ..shares import EntryCount, RepeatRule
+from ..watcher import Watcher, WatchPace
+from .beliefs import Beliefs
+from .engines import HttpTransport
+from .front import Front, answer_ready
+from .store import PlatformStore
+
+__all__ = ('EntryNode',)
+
+# Changes must be in force two seconds after they were accepted, also when the
+# watch is silent: one read and its time-out fit in twice.
+_POLL_SECONDS = 0.7
+_STORE_SECONDS = 0.7
+_TICK_SECONDS = 0.1
+# Entries to reckon with until an endpoint tells how many there are; a share
+# that is too small only refuses some repeats.
+_ASSUMED_ENTRIES = 8
+# The balancer asks once a second and takes an entry out after two misses;
+# until then new connections come.
+_NOTICED_SECONDS = 2.6
+# Left of the time until SIGKILL to close what is open.
+_CLOSE_SECONDS = 0.7
+_EVERYTHING = ''
+
+
+class EntryNode:
+    """Ties callers, beliefs, links and back ends together."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Prepare; nothing is opened yet."""
+        self._settings = settings
+        self._clock = SystemClock()
+        self._metrics = Metrics()
+        self._tables = TableHolder()
+        self._entries = EntryCount(_ASSUMED_ENTRIES)
+        self._backends = BackendSet(self._entries)
+        self._notices = NoticeBoard()
+        self._transport = HttpTransport(self._clock)
+        self._store = PlatformStore(settings.store, _STORE_SECONDS)
+        self._engines = EngineView(
+            backends=self._backends,
+            tables=self._tables,
+            notices=self._notices,
+            entries=self._entries,
+            identity=LinkIdentity(
+                settings.name, make_identifier(), settings.link_key
+            ),
+            clock=self._clock,
+            link_port=settings.link_port,
+        )
+        self._beliefs = Beliefs(
+            self._tables, self._backends, self._clock, self._engines.update
+        )
+        self._front = self._make_front()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until asked to stop, then end gracefully."""
+        settings = self._settings
+        self._watch_metrics()
+        runners = [
+            await listen(
+                partial(answer_ready, self._is_ready),
+                settings.entry.ready,
+                HttpLimits(),
+            ),
+            await listen(
+                self._front.handle, settings.entry.callers, HttpLimits()
+            ),
+        ]
+        if settings.metrics_port:
+            runners.append(
+                await listen_metrics(
+                    self._metrics, settings.host, settings.metrics_port
+                )
+            )
+        tasks = [
+            spawn(self._make_watcher().run(), 'beliefs'),
+            spawn(self._tick(), 'tick'),
+        ]
+        await stop.wait()
+        await self._drain()
+        await self._close(tasks, runners)
+
+    def _make_front(self) -> Front:
+        random = make_random()
+        limits = self._settings.limits
+        placement = CallPlacement(
+            PlacementTools(
+                rules=RelayRules(
+                    failure_domain=self._settings.failure_domain,
+                    repeats=RepeatRule(
+                        ratio=limits.repeat_ratio,
+                        slack=limits.repeat_slack,
+                        window=limits.repeat_window_seconds,
+                    ),
+                    cold_factor=limits.cold_factor,
+                    cold_slack=limits.cold_slack,
+                ),
+                tables=self._tables,
+                backends=self._backends,
+                entries=self._entries,
+                balancer=LeastPressed(random),
+                random=random,
+                clock=self._clock,
+                metrics=self._metrics,
+            )
+        )
+        tools = RelayTools(
+            placement=placement,
+            notices=self._notices,
+            transport=self._transport,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        return Front(
+            Relay(tools), self._tables, self._clock, random, self._metrics
+        )
+
+    def _make_watcher(self) -> Watcher:
+        # One prefix for all: each call is paid for, whatever it returns.
+        return Watcher(
+            self._store,
+            _EVERYTHING,
+            WatchPace(_POLL_SECONDS, polls_per_listing=1),
+            self._beliefs.take_pair,
+            self._beliefs.note_store,
+        )
+
+    def _watch_metrics(self) -> None:
+        watch = self._metrics.watch
+        watch('active', lambda: self._front.active)
+        watch('table_version', lambda: self._tables.version)
+        watch('endpoints', lambda: len(self._backends.backends))
+        watch('entries', lambda: self._entries.count)
+
+    def _is_ready(self) -> bool:
+        # Stays ready through an outage of the key-value service, with what
+        # is known.
+        known = self._tables.table is not None and self._backends.backends
+        return bool(known) and not self._front.stopping
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            self._beliefs.settle()
+            self._engines.tick()
+
+    async def _drain(self) -> None:
+        """Serve on until the balancer has noticed and all are answered."""
+        log_event('draining', active=self._front.active)
+        self._front.stopping = True
+        seconds = self._settings.limits.stop_seconds - _CLOSE_SECONDS
+        try:
+            async with asyncio.timeout(seconds):
+                await asyncio.sleep(_NOTICED_SECONDS)
+                while self._front.active:
+                    await asyncio.sleep(_TICK_SECONDS)
+        except TimeoutError:
+            log_event('stopped_with_work_left', 'ERROR')
+
+    async def _close(
+        self, tasks: list[asyncio.Task], runners: list[web.ServerRunner]
+    ) -> None:
+        for task in tasks:
+            task.cancel()
+        self._engines.stop()
+        for runner in runners:
+            await runner.cleanup()
+        await self._transport.close()
+        await self._store.close()
--- a/primrosewood/process.py
+++ b/primrosewood/process.py
@@ -4,18 +4,31 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Protocol, TypeVar
+
+import msgspec
+import xxhash
 
 from .config import ProcessConfig, load_config
 from .errors import SettingsInvalidError
+from .gen_node import NodeSettings
 from .logs import configure_logs, log_event
 
-__all__ = ('log_failure', 'run_process', 'spawn')
+__all__ = (
+    'digest_settings',
+    'log_failure',
+    'run_node',
+    'run_process',
+    'spawn',
+)
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _INVALID_SETTINGS = 2
 
 _background: set[asyncio.Task] = set()
 
+Settings = TypeVar('Settings')
 Main = Callable[[ProcessConfig, asyncio.Event], Awaitable[None]]
 
 
@@ -56,33 +69,103 @@
     check
         Whether to stop after the check.
     """
-    config = _load(settings, role)
+    config = _load_or_exit(lambda: _load(settings, role))
     if check:
         sys.stdout.write('settings are valid\n')
         return
     configure_logs(config.settings.name, config.settings.log_level)
-    asyncio.run(_run_until_signal(main, config))
+    domain = config.settings.failure_domain
+    asyncio.run(_run_until_signal(partial(main, config), domain))
 
 
 def _load(path: str, role: str) -> ProcessConfig:
+    config = load_config(path)
+    if not getattr(config.settings, role):
+        raise SettingsInvalidError([f'/{role}: this section is missing'])
+    return config
+
+
+def _load_or_exit(load: Callable[[], Settings]) -> Settings:
     try:
-        config = load_config(path)
-        if not getattr(config.settings, role):
-            raise SettingsInvalidError([f'/{role}: this section is missing'])
+        return load()
     except SettingsInvalidError as error:
         for fault in error.faults:
             sys.stderr.write(f'{fault}\n')
         sys.exit(_INVALID_SETTINGS)
-    return config
 
 
-async def _run_until_signal(main: Main, config: ProcessConfig) -> None:
+class Node(Protocol):
+    """A program that runs until it is asked to stop."""
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Run until the event is set, then end gracefully."""
+
+
+def run_node(
+    load: Callable[[], NodeSettings], make: Callable[[NodeSettings], Node]
+) -> None:
+    """Run a program that calls back ends directly.
+
+    Parameters
+    ----------
+    load
+        Reads and checks the settings file, also when SIGHUP asks for it.
+    make
+        Returns the program.
+    """
+    settings = _load_or_exit(load)
+    configure_logs(settings.name)
+    asyncio.run(_run_node(load, make, settings))
+
+
+async def _run_node(
+    load: Callable[[], NodeSettings],
+    make: Callable[[NodeSettings], Node],
+    settings: NodeSettings,
+) -> None:
+    reload = partial(_check_reload, load, settings)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+    await _run_until_signal(
+        make(settings).run, settings.failure_domain, digest_settings(settings)
+    )
+
+
+def digest_settings(settings: NodeSettings) -> str:
+    """Return a short digest by which logs tell settings apart."""
+    return xxhash.xxh32_hexdigest(msgspec.json.encode(settings))
+
+
+def _check_reload(
+    load: Callable[[], NodeSettings], running: NodeSettings
+) -> None:
+    """Log what a changed settings file would bring.
+
+    Addresses are those of the VM and change with a restart only, so a reload
+    never replaces the settings that the process runs with.
+    """
+    try:
+        found = load()
+    except SettingsInvalidError as error:
+        log_event('reload_refused', 'ERROR', why=error)
+        return
+    log_event(
+        'reloaded',
+        digest=digest_settings(found),
+        changed=found != running,
+    )
+
+
+async def _run_until_signal(
+    run: Callable[[asyncio.Event], Awaitable[None]],
+    failure_domain: str,
+    digest: str = '',
+) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
-    log_event('started', failure_domain=config.settings.failure_domain)
-    await main(config, stop)
+    log_event('started', failure_domain=failure_domain, digest=digest or None)
+    await run(stop)
     log_event('stopped')
 
 
--- /dev/null
+++ b/primrosewood/relay.py
@@ -0,0 +1,269 @@
+"""An entry's handling of direct calls, from arrival to whole answer."""
+
+import asyncio
+from dataclasses import dataclass
+
+from .backendset import Backend
+from .callplacement import CallPlacement, CallProgress
+from .clock import Clock
+from .directcalls import (
+    AnswerHead,
+    AnswerSink,
+    BackendReply,
+    DirectCall,
+    Resumption,
+    Transport,
+)
+from .errors import BackendCutError, ErrorKind, NotRunError, WireError
+from .events import EventSplitter
+from .logs import log_decision
+from .metrics import Metrics
+from .moves import MoveNotice, NoticeBoard
+
+__all__ = ('Relay', 'RelayTools')
+
+# A repeatable call that has no answer after this share of its objective is
+# sent to another back end, in time for an answer on time.  Nine in ten plain
+# calls take under a third of it.
+_FIRST_PATIENCE = 0.6
+# Engines answer by themselves when the time they were given is over; that
+# answer is the better one, so the entry's own comes a little later.
+_DEADLINE_SLACK = 0.1
+# The notice of a move follows the cut by 4 to 20 ms; an engine that leaves is
+# told some time before.  A crash has no notice, and its caller should hear
+# of it soon.
+_NOTICE_SECONDS = 0.4
+_LEAVING_NOTICE_SECONDS = 1.0
+_STATUS_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class RelayTools:
+    """What the relay works with."""
+
+    placement: CallPlacement
+    notices: NoticeBoard
+    transport: Transport
+    clock: Clock
+    metrics: Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class _Leg:
+    """One back end's part in a stream."""
+
+    backend: Backend
+    resumption: Resumption | None = None
+
+
+class Relay:
+    """Brings each direct call to one back end and its answer back."""
+
+    def __init__(self, tools: RelayTools) -> None:
+        """Take the tools."""
+        self._tools = tools
+        self._placement = tools.placement
+
+    async def answer(self, call: DirectCall, sink: AnswerSink) -> None:
+        """Write a call's answer; it is whole when this returns.
+
+        Raises
+        ------
+        RequestFailedError
+            With the kind that ends the call, at any point.
+        """
+        self._placement.note_arrival(call)
+        progress = CallProgress(call)
+        left = call.deadline - self._tools.clock.monotonic()
+        try:
+            async with asyncio.timeout(left + _DEADLINE_SLACK):
+                await self._answer(progress, sink)
+        except TimeoutError as error:
+            raise self._placement.end(
+                progress, ErrorKind.deadline_exceeded
+            ) from error
+
+    async def _answer(self, progress: CallProgress, sink: AnswerSink) -> None:
+        if progress.call.size is None:
+            await self._answer_whole(progress, sink)
+        else:
+            await self._answer_stream(progress, sink)
+
+    async def _answer_whole(
+        self, progress: CallProgress, sink: AnswerSink
+    ) -> None:
+        while True:
+            backend = self._placement.choose(progress)
+            try:
+                head, body = await self._fetch(progress, backend)
+            except (NotRunError, BackendCutError) as error:
+                self._placement.reconsider(progress, backend, error)
+                continue
+            self._note_answer(progress, backend, head.status)
+            await sink.begin(head)
+            await sink.write(body)
+            return
+
+    async def _fetch(
+        self, progress: CallProgress, backend: Backend
+    ) -> tuple[AnswerHead, bytes]:
+        """Return a whole answer; nothing of it is handed on before.
+
+        An answer that breaks off or is spoiled on the way can then be
+        replaced by another one, or by an error.
+        """
+        try:
+            async with asyncio.timeout(_patience(progress)):
+                return await self._fetch_patiently(progress, backend)
+        except TimeoutError as error:
+            raise BackendCutError('no answer in time') from error
+
+    async def _fetch_patiently(
+        self, progress: CallProgress, backend: Backend
+    ) -> tuple[AnswerHead, bytes]:
+        with self._placement.book(progress, backend):
+            async with self._tools.transport.send(
+                progress.call, backend
+            ) as reply:
+                return await _read_whole(reply)
+
+    async def _answer_stream(
+        self, progress: CallProgress, sink: AnswerSink
+    ) -> None:
+        leg = _Leg(self._placement.choose(progress))
+        while True:
+            try:
+                await self._follow(progress, leg, sink)
+            except NotRunError as error:
+                leg = self._send_again(progress, leg, error)
+            except (BackendCutError, WireError) as error:
+                leg = await self._go_on(progress, leg, error)
+            else:
+                return
+
+    async def _follow(
+        self, progress: CallProgress, leg: _Leg, sink: AnswerSink
+    ) -> None:
+        call = progress.call
+        # A notice of an earlier move must not explain a later cut.
+        self._tools.notices.forget(call.name)
+        resumed = leg.resumption is not None
+        with self._placement.book(progress, leg.backend, resumed) as booking:
+            async with self._tools.transport.send(
+                call, leg.backend, leg.resumption
+            ) as reply:
+                if reply.status == _STATUS_OK:
+                    first = booking.note_first_event
+                    await self._pass_on(progress, reply, sink, first)
+                else:
+                    await self._pass_failure(progress, reply, sink)
+                status = reply.status
+        self._placement.learn(progress)
+        self._note_answer(progress, leg.backend, status)
+
+    async def _pass_on(
+        self,
+        progress: CallProgress,
+        reply: BackendReply,
+        sink: AnswerSink,
+        note_first_event,
+    ) -> None:
+        splitter = EventSplitter()
+        async for part in reply.parts():
+            events = splitter.feed(part)
+            fresh = b''.join(filter(progress.order.accept, events))
+            if not fresh:
+                continue
+            note_first_event()
+            if not progress.begun:
+                progress.begun = True
+                await sink.begin(AnswerHead(reply.status, reply.headers))
+            await sink.write(fresh)
+        if splitter.rest or not progress.begun:
+            raise BackendCutError('the stream ended inside an event')
+
+    async def _pass_failure(
+        self, progress: CallProgress, reply: BackendReply, sink: AnswerSink
+    ) -> None:
+        if progress.begun:
+            # Part of the answer is out under another status.
+            raise NotRunError(ErrorKind.generation_lost, str(reply.status))
+        head, body = await _read_whole(reply)
+        await sink.begin(head)
+        await sink.write(body)
+
+    def _send_again(
+        self, progress: CallProgress, leg: _Leg, error: NotRunError
+    ) -> _Leg:
+        if leg.resumption is not None:
+            raise self._placement.end(
+                progress, ErrorKind.outcome_unknown, error
+            ) from error
+        self._placement.reconsider(progress, leg.backend, error)
+        return _Leg(self._placement.choose(progress))
+
+    async def _go_on(
+        self, progress: CallProgress, leg: _Leg, error: Exception
+    ) -> _Leg:
+        """Return where a stream that was cut goes on."""
+        progress.ran = 1
+        notice = await self._await_notice(progress, leg.backend)
+        if notice is None or not notice.handle:
+            raise self._placement.end(
+                progress, ErrorKind.outcome_unknown, error
+            ) from error
+        last_event = progress.order.last
+        log_decision(
+            'resumed',
+            request=progress.call.name,
+            source=notice.source,
+            endpoint=notice.target,
+            last_event=last_event,
+            why=error,
+        )
+        self._tools.metrics.count('resumed')
+        backend = self._placement.find_address(progress, notice.target)
+        return _Leg(
+            backend, Resumption(notice.source, notice.handle, last_event)
+        )
+
+    async def _await_notice(
+        self, progress: CallProgress, backend: Backend
+    ) -> MoveNotice | None:
+        traits = self._placement.engine_traits(progress.call.service)
+        if traits is None or not traits.moves:
+            return None
+        seconds = _NOTICE_SECONDS
+        if backend.stopping:
+            seconds = _LEAVING_NOTICE_SECONDS
+        return await self._tools.notices.wait(progress.call.name, seconds)
+
+    def _note_answer(
+        self, progress: CallProgress, backend: Backend, status: int
+    ) -> None:
+        call = progress.call
+        seconds = self._tools.clock.monotonic() - call.arrived
+        self._tools.metrics.count('calls', str(status))
+        self._tools.metrics.record('call', seconds)
+        log_decision(
+            'answered',
+            request=call.name,
+            endpoint=backend.name,
+            status=status,
+            sends=progress.sends,
+            seconds=seconds,
+        )
+
+
+def _patience(progress: CallProgress) -> float | None:
+    """Return how long a try may take, None until the deadline."""
+    route = progress.call.route
+    last = progress.ran + 1 >= route.max_endpoints
+    if last or not route.repeatable:
+        return None
+    return route.objective * _FIRST_PATIENCE
+
+
+async def _read_whole(reply: BackendReply) -> tuple[AnswerHead, bytes]:
+    body = b''.join([part async for part in reply.parts()])
+    return AnswerHead(reply.status, reply.headers, len(body)), body
--- a/primrosewood/runner.py
+++ b/primrosewood/runner.py
@@ -6,7 +6,6 @@
 
 from .admission import Admission
 from .backends import (
-    BackendCutError,
     Engine,
     EngineCall,
     EngineToken,
@@ -15,7 +14,7 @@
     StreamUnknownError,
 )
 from .clock import Clock
-from .errors import ErrorKind, NotRunError
+from .errors import BackendCutError, ErrorKind, NotRunError
 from .jobs import CallJob, GenerationJob, Job
 from .logs import log_event
 from .metrics import Metrics
--- /dev/null
+++ b/primrosewood/shares.py
@@ -0,0 +1,118 @@
+"""An entry's share of limits that hold for the sum over all entries.
+
+Entries do not ask each other before they spend: on a day with cuts there is
+nobody to ask.  Each spends its share of the sum, by the number of entries
+that it last heard of, and keeps a margin for an entry that has just come.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+__all__ = ('ColdLimit', 'EntryCount', 'RepeatBudget', 'RepeatRule')
+
+# Used of each share; the rest covers entries that were not counted yet.
+_MARGIN = 0.8
+# Calls are counted where they arrive, so two bursts that were a second apart
+# when they were sent may be nearer to each other: count a little longer.
+_COLD_WINDOW_SECONDS = 1.2
+
+
+class EntryCount:
+    """How many entries share each sum, as endpoints last told.
+
+    Parameters
+    ----------
+    assumed
+        Entries to reckon with before anybody told.
+    """
+
+    def __init__(self, assumed: int) -> None:
+        """Start with the assumption."""
+        self._count = assumed
+
+    @property
+    def count(self) -> int:
+        """Number of entries, at least one."""
+        return self._count
+
+    def take(self, entries: int) -> None:
+        """Note how many entries an endpoint is connected to."""
+        self._count = max(1, entries)
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatRule:
+    """Bound on repeats at a service within a window.
+
+    Attributes
+    ----------
+    ratio
+        Repeats allowed for each request of the window.
+    slack
+        Repeats allowed on top, by all entries together.
+    window
+        Seconds.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50
+    window: float = 10
+
+
+class RepeatBudget:
+    """Repeats to one service, bounded so that a fault brings no storm."""
+
+    def __init__(self, rule: RepeatRule, entries: EntryCount) -> None:
+        """Start with an empty window."""
+        self._rule = rule
+        self._entries = entries
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def spend(self, now: float) -> bool:
+        """Take one repeat; False when the share is used up."""
+        self._forget(now)
+        allowed = len(self._requests) * self._rule.ratio
+        allowed += self._rule.slack / self._entries.count
+        if len(self._repeats) + 1 > allowed * _MARGIN:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        for times in (self._requests, self._repeats):
+            while times and times[0] < now - self._rule.window:
+                times.popleft()
+
+
+class ColdLimit:
+    """Calls a second to one cold back end."""
+
+    def __init__(self, entries: EntryCount) -> None:
+        """Start with an empty window."""
+        self._entries = entries
+        self._sent: deque[float] = deque()
+
+    def has_room(self, rate: float, now: float) -> bool:
+        """Tell whether another call keeps this entry within its share.
+
+        Parameters
+        ----------
+        rate
+            Calls a second that all entries together may send.
+        now
+            Monotonic seconds.
+        """
+        while self._sent and self._sent[0] < now - _COLD_WINDOW_SECONDS:
+            self._sent.popleft()
+        share = rate * _MARGIN / self._entries.count
+        return len(self._sent) + 1 <= max(1, share)
+
+    def note(self, now: float) -> None:
+        """Count a call."""
+        self._sent.append(now)
--- a/primrosewood/watcher.py
+++ b/primrosewood/watcher.py
@@ -1,16 +1,36 @@
 """Follows a prefix of the key-value service."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
-from .errors import StoreUnavailableError
+from .errors import HistoryLostError, StoreUnavailableError
 from .kv import Change, KeyValue, Pair
 from .logs import log_event
 
-__all__ = ('Watcher',)
+__all__ = ('WatchPace', 'Watcher')
 
 _RETRY_SECONDS = 0.5
 _POLLS_PER_LISTING = 120
+# Deletions that are remembered against listings from before them.
+_MOST_DELETED = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class WatchPace:
+    """How often a prefix is read beside the watch.
+
+    Attributes
+    ----------
+    poll_seconds
+        Between two polls.
+    polls_per_listing
+        Every so many polls everything is read, so that deletions show which
+        the watch missed.
+    """
+
+    poll_seconds: float
+    polls_per_listing: int = _POLLS_PER_LISTING
 
 
 class Watcher:
@@ -26,25 +46,30 @@
         The key-value service.
     prefix
         What to follow.
-    poll_seconds
-        Between two polls.
+    pace
+        How often to poll.
     take
         Called with each change, repeats included; None for a deletion.
+    note_answered
+        Called after each poll, with whether the service answered.
     """
 
     def __init__(
         self,
         store: KeyValue,
         prefix: str,
-        poll_seconds: float,
+        pace: WatchPace,
         take: Callable[[str, Pair | None], None],
+        note_answered: Callable[[bool], None] | None = None,
     ) -> None:
         """Start without knowledge."""
         self._store = store
         self._prefix = prefix
-        self._poll_seconds = poll_seconds
+        self._pace = pace
         self._take = take
+        self._note_answered = note_answered or _ignore
         self._known: dict[str, int] = {}
+        self._deleted: dict[str, int] = {}
         self._newest = 0
 
     async def run(self, watch: bool = True) -> None:
@@ -64,37 +89,42 @@
     async def list_all(self) -> None:
         """Read everything and report deletions."""
         before = dict(self._known)
-        pairs = await self._store.list_pairs(self._prefix)
-        found = {pair.key for pair in pairs}
-        for pair in pairs:
+        listing = await self._store.list_all(self._prefix)
+        found = {pair.key for pair in listing.pairs}
+        for pair in listing.pairs:
             self._report(pair)
         for key, revision in before.items():
             # What the watch brought while the listing was under way is not
             # in it, and is no deletion.
             if key not in found and self._known.get(key) == revision:
-                self._report_deleted(key)
+                self._report_deleted(key, listing.revision)
+        # A service that has dropped its history refuses to watch from an old
+        # revision, even if nothing below the prefix has changed since.
+        self._newest = max(self._newest, listing.revision)
 
     async def _list_until_answered(self) -> None:
-        while True:
-            try:
-                await self.list_all()
-            except StoreUnavailableError:
-                await asyncio.sleep(_RETRY_SECONDS)
-            else:
-                return
+        while not await self._try(self.list_all()):
+            await asyncio.sleep(_RETRY_SECONDS)
 
     async def _poll(self) -> None:
         polls = 0
         while True:
-            await asyncio.sleep(self._poll_seconds)
+            await asyncio.sleep(self._pace.poll_seconds)
             polls += 1
-            try:
-                await self._poll_once(polls)
-            except StoreUnavailableError as error:
-                log_event('poll_failed', 'WARNING', why=error)
+            await self._try(self._poll_once(polls))
+
+    async def _try(self, reading: Awaitable[None]) -> bool:
+        try:
+            await reading
+        except StoreUnavailableError as error:
+            log_event('poll_failed', 'WARNING', why=error)
+            self._note_answered(False)
+            return False
+        self._note_answered(True)
+        return True
 
     async def _poll_once(self, polls: int) -> None:
-        if polls % _POLLS_PER_LISTING == 0:
+        if polls % self._pace.polls_per_listing == 0:
             await self.list_all()
             return
         since = self._newest + 1
@@ -105,6 +135,9 @@
         while True:
             try:
                 await self._follow()
+            except HistoryLostError as error:
+                log_event('watch_lost_history', 'WARNING', why=error)
+                await self._try(self.list_all())
             except StoreUnavailableError as error:
                 log_event('watch_ended', 'DEBUG', why=error)
             await asyncio.sleep(_RETRY_SECONDS)
@@ -115,16 +148,33 @@
             self._apply(change)
 
     def _apply(self, change: Change) -> None:
+        self._newest = max(self._newest, change.revision)
         if change.pair is None:
-            self._report_deleted(change.key)
+            self._report_deleted(change.key, change.revision)
         else:
             self._report(change.pair)
 
     def _report(self, pair: Pair) -> None:
+        # A listing may be older than what the watch has brought meanwhile: it
+        # would bring back what was deleted, or an older value.
+        deleted = self._deleted.get(pair.key, 0)
+        if pair.revision < max(deleted, self._known.get(pair.key, 0)):
+            return
         self._known[pair.key] = pair.revision
+        self._deleted.pop(pair.key, None)
         self._newest = max(self._newest, pair.revision)
         self._take(pair.key, pair)
 
-    def _report_deleted(self, key: str) -> None:
+    def _report_deleted(self, key: str, revision: int) -> None:
+        if revision < self._known.get(key, 0):
+            return
         self._known.pop(key, None)
+        self._deleted.pop(key, None)
+        self._deleted[key] = revision
+        while len(self._deleted) > _MOST_DELETED:
+            self._deleted.pop(next(iter(self._deleted)))
         self._take(key, None)
+
+
+def _ignore(_answered: bool) -> None:
+    """Do nothing with whether the service answered."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -4,14 +4,13 @@
 import unittest
 
 from primrosewood.backends import (
-    BackendCutError,
     EngineCall,
     HttpEngine,
     HttpService,
     PlainCall,
     StreamUnknownError,
 )
-from primrosewood.errors import NotRunError
+from primrosewood.errors import BackendCutError, NotRunError
 
 _OK = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -7,7 +7,7 @@
 from primrosewood.errors import StoreUnavailableError
 from primrosewood.gen_stored import MemberRecord
 from primrosewood.kv import MemoryKeyValue
-from primrosewood.watcher import Watcher
+from primrosewood.watcher import Watcher, WatchPace
 
 
 class _SlowListing(MemoryKeyValue):
@@ -48,7 +48,7 @@
         """
         store = _SlowListing()
         store.gate.set()
-        watcher = Watcher(store, 'm/', 1000, self.take)
+        watcher = Watcher(store, 'm/', WatchPace(1000), self.take)
         following = asyncio.create_task(watcher.run())
         await store.put('m/1', b'1')
         await self.wait_for({'m/1': b'1'})
@@ -66,7 +66,7 @@
         store = MemoryKeyValue()
         lease = await store.grant(30)
         await store.put('m/1', b'1', lease)
-        watcher = Watcher(store, 'm/', 1000, self.take)
+        watcher = Watcher(store, 'm/', WatchPace(1000), self.take)
         await watcher.list_all()
         await store.revoke(lease)
         await watcher.list_all()
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -6,13 +6,12 @@
 
 from primrosewood import gen_wire as wire
 from primrosewood.backends import (
-    BackendCutError,
     CallResult,
     EngineToken,
     StreamUnknownError,
 )
 from primrosewood.clock import SystemClock
-from primrosewood.errors import ErrorKind, NotRunError
+from primrosewood.errors import BackendCutError, ErrorKind, NotRunError
 from primrosewood.gen_process import Limits, Timing
 from primrosewood.metrics import Metrics
 from primrosewood.settings import SettingsStore
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 out=${1:-primrosewood}
-for name in wire stored team process keys caller; do
+for name in wire stored team process keys caller node; do
   "${PYTHON:-python3}" -W ignore -m datamodel_code_generator \
     --input "primrosewood/schema/$name.json" --input-file-type jsonschema \
     --output "$out/gen_$name.py" --output-model-type msgspec.Struct \
