Let engines announce themselves while the store is away

Cause: during an outage of the key-value service no engine can register, while engines are taken away and replaced all the same. After eight seconds an entry knew two of five, all streams stood on these, and the next one to leave held seven, more than a notice leaves time to move; room told to it was spent and never asked again.

Change: the process beside an engine connects to the seeds and announces its engine; an entry passes that on through the processes it is linked to. What is announced and does not register once the service is back for 2.3 s is dropped, and what has left is never taken back. Room is asked again when it is spent. A process whose engine is gone says so instead of falling silent.

--- a/primrosewood/backends.py
+++ b/primrosewood/backends.py
@@ -14,6 +14,7 @@
     NotRunError,
     PrimrosewoodError,
 )
+from .httpclient import never_repeat
 
 __all__ = (
     'CallResult',
@@ -153,7 +154,7 @@
                 # unknown though it never ran. Beside the back end a new
                 # connection costs little.
                 connector=aiohttp.TCPConnector(limit=0, force_close=True),
-                middlewares=(_never_repeat,),
+                middlewares=(never_repeat,),
                 timeout=aiohttp.ClientTimeout(
                     total=None, sock_connect=_CONNECT_SECONDS
                 ),
@@ -294,21 +295,6 @@
             raise BackendCutError(type(error).__name__) from error
 
 
-async def _never_repeat(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # The HTTP library sends a call again by itself when its connection broke
-    # and the method is idempotent by its name. A service may say that its GET
-    # must not be repeated, and repeats would pass the retry budget by; so the
-    # break is made an error of ours, which the library does not catch.
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise BackendCutError(type(error).__name__) from error
-
-
 def _check_status(status: int) -> None:
     if status in _NOT_TAKEN:
         raise NotRunError(ErrorKind.overloaded, retry_seconds=1)
--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -1,5 +1,6 @@
 """What an entry believes of the back ends that it may call directly."""
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from .shares import ColdLimit, EntryCount
@@ -16,6 +17,8 @@
 # A back end that refused a connection is passed over for so long while others
 # can take the work; the platform restarts a process in about a second.
 _SUSPECT_SECONDS = 1.0
+# Names of back ends that are remembered after they left.
+_MOST_GONE = 4096
 # Back ends of a failure domain that has just been let in again may be cold
 # before their own record says so: their records are written every 1.2 s.
 _RETURN_SECONDS = 3.0
@@ -80,6 +83,8 @@
     unreported_tokens, unreported_prompts
         What was opened after the last report was read: tokens in all, and
         those of prompts.
+    found_at
+        When it announced itself, None once it is registered.
     state_at, suspect_until, cold_until
         Monotonic seconds.
     """
@@ -94,6 +99,7 @@
     state: EngineState | None = None
     state_at: float = 0
     leaving: bool = False
+    found_at: float | None = None
     suspect_until: float = 0
     cold_until: float = 0
 
@@ -147,6 +153,7 @@
     evacuated: frozenset[str] = frozenset()
     _backends: dict[str, Backend] = field(default_factory=dict)
     _missing: set[str] = field(default_factory=set)
+    _gone: OrderedDict[str, None] = field(default_factory=OrderedDict)
     _returned: dict[str, float] = field(default_factory=dict)
     _disturbance: _Disturbance = field(default_factory=_Disturbance)
 
@@ -159,14 +166,30 @@
         """Note a back end's record."""
         self._missing.discard(record.name)
         known = self._backends.get(record.name)
-        if known is None or known.record.boot != record.boot:
+        announced = known is not None and known.found_at is not None
+        if known is None or not (announced or known.record.boot == record.boot):
             known = Backend(record, ColdLimit(self.entries))
             self._backends[record.name] = known
         known.record = record
+        known.found_at = None
         if record.cold_seconds:
             known.cold_until = now + record.cold_seconds
         return known
 
+    def announce(self, record: BackendRecord, now: float) -> bool:
+        """Note a back end that announces itself; tell whether it is new.
+
+        While the key-value service is away nothing can register, and engines
+        are replaced all the same: after eight seconds two of five were left,
+        which held seven streams too many when the next one went.
+        """
+        if record.name in self._backends or record.name in self._gone:
+            return False
+        found = Backend(record, ColdLimit(self.entries), found_at=now)
+        found.cold_until = now + record.cold_seconds
+        self._backends[record.name] = found
+        return True
+
     def remove(self, name: str, now: float) -> bool:
         """Note that a record is gone; tell whether it counts at once.
 
@@ -195,10 +218,13 @@
     def settle(self, now: float) -> list[str]:
         """Drop what has stayed missing after an outage; return the names."""
         seen = self._disturbance
-        settled = now >= seen.answering_since + _REWRITE_SECONDS
-        if not self._missing or not seen.answering or not settled:
+        if not seen.answering:
             return []
-        gone = sorted(self._missing)
+        settled = now - _REWRITE_SECONDS
+        gone = []
+        if seen.answering_since <= settled:
+            gone = sorted(self._missing)
+            gone += self._unregistered(settled)
         for name in gone:
             self._drop(name)
         return gone
@@ -236,6 +262,14 @@
         recent = returned is not None and now < returned + _RETURN_SECONDS
         return recent or now < backend.cold_until
 
+    def _unregistered(self, settled: float) -> list[str]:
+        """Return what announced itself and has not registered since."""
+        return [
+            backend.name
+            for backend in self._backends.values()
+            if backend.found_at is not None and backend.found_at <= settled
+        ]
+
     def _is_disturbed(self, now: float) -> bool:
         seen = self._disturbance
         return not seen.answering or now < seen.failed_at + _DISTURBED_SECONDS
@@ -243,5 +277,9 @@
     def _drop(self, name: str) -> None:
         self._missing.discard(name)
         backend = self._backends.pop(name)
+        # It may announce itself until it has gone.
+        self._gone[name] = None
+        if len(self._gone) > _MOST_GONE:
+            self._gone.popitem(last=False)
         # Whoever still holds it must see that it takes no new work.
         backend.leaving = True
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -6,6 +6,7 @@
 
 from .backendset import Backend
 from .clock import RandomSource
+from .directcalls import Leg
 
 __all__ = (
     'Balancer',
@@ -60,22 +61,21 @@
     ----------
     tokens
         None for calls of plain services.
-    read
-        Whether the prompt need not be read, as its memory was moved.
     """
 
-    def __init__(
-        self, backend: Backend, tokens: BookedTokens | None, read: bool
-    ) -> None:
+    def __init__(self, leg: Leg, tokens: BookedTokens | None) -> None:
         """Count the call."""
+        backend = leg.backend
         self._backend = backend
         self._total = tokens.total if tokens else 0
-        self._unread = 0 if read or not tokens else tokens.prompt
+        # The prompt of a moved generation need not be read again.
+        fresh = tokens is not None and leg.resumption is None
+        self._unread = tokens.prompt if fresh else 0
         backend.open_calls += 1
-        backend.open_tokens += self._total
         backend.unread_tokens += self._unread
-        backend.unreported_tokens += self._total
         backend.unreported_prompts += self._unread
+        backend.open_tokens += self._total
+        backend.unreported_tokens += self._total
 
     def note_first_event(self) -> None:
         """Note that the prompt has been read."""
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -11,7 +11,7 @@
 from .backendset import Backend, BackendSet
 from .balancing import Balancer, BookedTokens, Booking, Placing
 from .clock import Clock, RandomSource
-from .directcalls import DirectCall
+from .directcalls import DirectCall, Leg
 from .errors import (
     BackendCutError,
     ErrorKind,
@@ -201,21 +201,19 @@
         return RequestFailedError(kind, retry_seconds=_RETURN_SECONDS + spread)
 
     @contextmanager
-    def book(
-        self, progress: CallProgress, backend: Backend, resumed: bool = False
-    ) -> Iterator[Booking]:
+    def book(self, progress: CallProgress, leg: Leg) -> Iterator[Booking]:
         """Count a call at its back end while it is open there."""
         now = self._now()
         call = progress.call
-        backend.cold_limit.note(now)
+        leg.backend.cold_limit.note(now)
         progress.sends += 1
-        if resumed:
+        if leg.resumption is not None:
             self._budget(call.service).spend(now)
-        booking = Booking(backend, self._tokens(call), resumed)
+        booking = Booking(leg, self._tokens(call))
         try:
             yield booking
         except (NotRunError, BackendCutError):
-            backend.suspect(self._now())
+            leg.backend.suspect(self._now())
             raise
         finally:
             booking.release()
--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -41,6 +41,7 @@
         wire.RoomAsk: 21,
         wire.RoomTold: 22,
         wire.RunMoved: 23,
+        wire.EngineFound: 24,
     }
 )
 _TYPES = MappingProxyType({code: kind for kind, code in _CODES.items()})
--- a/primrosewood/directcalls.py
+++ b/primrosewood/directcalls.py
@@ -15,6 +15,7 @@
     'DirectCall',
     'GenerationSize',
     'Header',
+    'Leg',
     'Resumption',
     'Transport',
 )
@@ -115,6 +116,20 @@
         """Write a part of the body."""
 
 
+@dataclass(frozen=True, slots=True)
+class Leg:
+    """One back end's part in a call.
+
+    Attributes
+    ----------
+    resumption
+        Where a moved generation goes on, None for a fresh one.
+    """
+
+    backend: Backend
+    resumption: Resumption | None = None
+
+
 class BackendReply(Protocol):
     """A back end's answer whose head has come."""
 
@@ -140,10 +155,7 @@
     """Carries a direct call to one back end, over a connection of its own."""
 
     def send(
-        self,
-        call: DirectCall,
-        backend: Backend,
-        resumption: Resumption | None = None,
+        self, call: DirectCall, leg: Leg
     ) -> AbstractAsyncContextManager[BackendReply]:
         """Send a call; leaving the context ends what is still running.
 
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -13,7 +13,6 @@
 from .backendset import EngineState
 from .clock import Clock
 from .codec import Message
-from .enginelink import EngineLinkServer
 from .errors import BackendCutError, ErrorKind, NotRunError
 from .logs import log_decision, log_event
 from .metrics import Metrics
@@ -24,6 +23,7 @@
     plan_moves,
     take_room,
 )
+from .peerlink import PeerServer
 
 __all__ = ('EngineKeeper', 'EngineReading', 'KeeperPlace', 'MovableEngine')
 
@@ -53,6 +53,10 @@
     leaves_in: float | None = None
 
 
+# Told while the engine does not answer: it takes no new work.
+_GONE = EngineReading(EngineState(leaving=True))
+
+
 class MovableEngine(Protocol):
     """The engine beside this process."""
 
@@ -69,6 +73,15 @@
             The engine does not answer.
         """
 
+    async def identify(self) -> str:
+        """Return the engine's name for this start of it.
+
+        Raises
+        ------
+        BackendCutError
+            The engine does not answer.
+        """
+
     async def copy(self, run: EngineRun, target: str, last: bool) -> str:
         """Copy a generation to another engine and return the handle.
 
@@ -115,7 +128,8 @@
         self._room: asyncio.Future[list[MoveTarget]] | None = None
         self._done: set[str] = set()
         self._moving: asyncio.Task | None = None
-        self.server: EngineLinkServer | None = None
+        self.server: PeerServer | None = None
+        self.found: wire.EngineFound | None = None
 
     @property
     def needed(self) -> bool:
@@ -128,17 +142,31 @@
         """Follow the engine until cancelled."""
         while True:
             try:
-                reading = await self._engine.read()
+                await self._follow()
             except BackendCutError as error:
                 self._lose_engine(error)
-            else:
-                self._take(reading)
             await asyncio.sleep(_READ_SECONDS)
 
     def handle(self, message: Message) -> None:
         """Act on an entry's message."""
-        if not isinstance(message, wire.RoomTold):
-            return
+        if isinstance(message, wire.EngineFound):
+            # One entry heard of an engine; the others hear it from here.
+            self.server.broadcast(message)
+        elif isinstance(message, wire.RoomTold):
+            self._take_room(message)
+
+    async def _follow(self) -> None:
+        reading = await self._engine.read()
+        if self.found is None:
+            self.found = wire.EngineFound(
+                name=await self._engine.identify(),
+                address=self._engine.address,
+                service=self._place.service,
+                failure_domain=self._place.failure_domain,
+            )
+        self._take(reading)
+
+    def _take_room(self, message: wire.RoomTold) -> None:
         if self._room is not None and not self._room.done():
             self._room.set_result(
                 [
@@ -153,7 +181,10 @@
         if self._reading is not None:
             log_event('engine_lost', 'WARNING', why=error)
         self._reading = None
+        self.found = None
         self._done.clear()
+        # Entries would take silence for the loss of this process.
+        self._tell(_GONE, at_once=False)
 
     def _take(self, reading: EngineReading) -> None:
         if self._reading is None:
@@ -180,7 +211,7 @@
             used_tokens=state.used_tokens,
             total_tokens=state.total_tokens,
             leaving=state.leaving,
-            entries=self.server.entries,
+            entries=self.server.peers,
         )
         silent = now - self._told_at
         changed = report != self._told and silent >= _TELL_SECONDS
@@ -194,8 +225,14 @@
             targets = await self._ask_room()
             while self._reading is not None:
                 runs = self._left_to_move(self._reading.runs)
-                if not runs or not targets:
+                if not runs:
                     return
+                if (
+                    choose_target(runs[0], targets, self._place.failure_domain)
+                    is None
+                ):
+                    # What was told is spent or old; others end meanwhile.
+                    targets = await self._ask_room()
                 targets = await self._move(runs[0], targets)
         finally:
             self._moving = None
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -3,13 +3,13 @@
 from functools import partial
 
 from . import gen_wire as wire
-from .backendset import Backend, BackendSet, EngineState
+from .backendset import Backend, BackendRecord, BackendSet, EngineState
 from .clock import Clock
 from .codec import Message
-from .enginelink import EngineLink, LinkIdentity
 from .link import Link
 from .logs import log_event
 from .moves import MoveNotice, NoticeBoard
+from .peerlink import LinkIdentity, PeerLink
 from .routes import TableHolder
 from .shares import EntryCount
 
@@ -18,6 +18,9 @@
 # An engine that leaves without a word loses its record first and serves on for
 # some seconds; its moves are told over this link.
 _LINGER_SECONDS = 15.0
+# An engine that announces itself has just started, and its record, which says
+# how long it is cold, has not come yet.
+_ANNOUNCED_COLD_SECONDS = 5.0
 # Room that is offered for moves leaves this share of an engine's memory to
 # what its own generations will still add.
 _OFFERED = 0.9
@@ -50,7 +53,7 @@
         self._identity = identity
         self._clock = clock
         self._link_port = link_port
-        self._links: dict[str, EngineLink] = {}
+        self._links: dict[str, PeerLink] = {}
         self._told_entries: dict[str, int] = {}
         self._unlisted: dict[str, float] = {}
 
@@ -97,9 +100,40 @@
             if _has_slot(backend)
         ]
 
-    def _open(self, address: str) -> EngineLink:
+    def take_found(self, found: wire.EngineFound) -> bool:
+        """Note an engine that announces itself; tell whether it is new."""
+        table = self._tables.table
+        traits = table and table.services.get(found.service)
+        if not traits or not traits.engine:
+            return False
+        record = BackendRecord(
+            name=found.name,
+            service=found.service,
+            address=found.address,
+            failure_domain=found.failure_domain,
+            slots=traits.engine.slots,
+            cold_seconds=_ANNOUNCED_COLD_SECONDS,
+        )
+        is_new = self._backends.announce(record, self._clock.monotonic())
+        if is_new:
+            log_event(
+                'endpoint_announced',
+                endpoint=found.name,
+                address=found.address,
+                failure_domain=found.failure_domain,
+            )
+            self.update()
+        return is_new
+
+    def take_announcement(self, message: Message) -> None:
+        """Act on what came from the process beside an engine directly."""
+        if isinstance(message, wire.EngineFound) and self.take_found(message):
+            for link in self._links.values():
+                link.send(message)
+
+    def _open(self, address: str) -> PeerLink:
         host = address.partition(':')[0]
-        return EngineLink(
+        return PeerLink(
             f'ws://{host}:{self._link_port}',
             self._identity,
             self._clock,
@@ -117,6 +151,8 @@
                 self._take_report(address, message)
             case wire.RoomAsk():
                 link.send(wire.RoomTold(self.room(message.service)))
+            case wire.EngineFound():
+                self.take_found(message)
             case wire.RunMoved():
                 self._notices.post(
                     MoveNotice(
--- a/primrosewood/gen_node.py
+++ b/primrosewood/gen_node.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeAlias
 
-from msgspec import UNSET, Meta, Struct, UnsetType
+from msgspec import UNSET, Meta, Struct, UnsetType, field
 
 
 class EndpointNode(Struct, forbid_unknown_fields=True):
@@ -50,6 +50,16 @@
     """
     Where the balancer asks, as host:port.
     """
+    peers: Annotated[
+        str,
+        Meta(
+            description='Where processes beside engines announce themselves, as host:port.',
+            pattern='^[0-9.]+:[0-9]{1,5}$',
+        ),
+    ]
+    """
+    Where processes beside engines announce themselves, as host:port.
+    """
 
 
 class NodeSettings(Struct, forbid_unknown_fields=True):
@@ -98,6 +108,21 @@
     """
     entry: EntryNode | UnsetType = UNSET
     endpoint: EndpointNode | UnsetType = UNSET
+    seeds: (
+        Annotated[
+            list[Seed],
+            Meta(
+                description='Entries that may be reached, as host:port; some may be gone.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+    """
+    Entries that may be reached, as host:port; some may be gone.
+    """
+
+
+Seed: TypeAlias = Annotated[str, Meta(pattern='^[0-9.]+:[0-9]{1,5}$')]
 
 
 class SharedLimits(Struct, forbid_unknown_fields=True):
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -83,6 +83,23 @@
     offset: Annotated[int, Meta(ge=0)]
 
 
+class EngineFound(Struct, array_like=True):
+    """
+    An engine that the process beside it announces itself.
+    """
+
+    name: Annotated[str, Meta(description="The engine's name for this start of it.")]
+    """
+    The engine's name for this start of it.
+    """
+    address: Annotated[str, Meta(description='host:port')]
+    """
+    host:port
+    """
+    service: str
+    failure_domain: str
+
+
 class EngineReport(Struct, array_like=True):
     """
     An engine's own report, told by the process beside it to every entry.
--- a/primrosewood/enginelink.py
+++ b/primrosewood/peerlink.py
@@ -2,7 +2,8 @@
 
 The process beside an engine listens; every entry connects to it.  It tells
 the engine's own report, which entries could otherwise read only half a second
-late, and which generations it moved where.
+late, and which generations it moved where.  Entries listen too, for the
+process beside an engine that no entry knows yet.
 """
 
 import asyncio
@@ -23,7 +24,7 @@
 from .logs import log_event
 from .process import spawn
 
-__all__ = ('EngineLink', 'EngineLinkServer', 'LinkIdentity')
+__all__ = ('PeerLink', 'PeerServer', 'LinkIdentity')
 
 _HANDSHAKE_SECONDS = 1.0
 _LONGEST_FRAME = 262_144
@@ -49,13 +50,13 @@
     key: str
 
 
-class EngineLink:
-    """An entry's connection to the process beside one engine.
+class PeerLink:
+    """A connection that is made again whenever it ends.
 
     Parameters
     ----------
     url
-        Where that process listens.
+        Where the peer listens.
     handle
         Called with each message, and with the link to answer on.
     """
@@ -67,7 +68,7 @@
         clock: Clock,
         handle: Callable[[Message, Link], None],
     ) -> None:
-        """Connect, and connect again whenever the connection ends."""
+        """Begin to connect."""
         self._url = url
         self._identity = identity
         self._clock = clock
@@ -78,7 +79,7 @@
 
     @property
     def connected(self) -> bool:
-        """Whether the process beside the engine is heard."""
+        """Whether the peer is heard."""
         return self._link is not None
 
     def check_silence(self) -> None:
@@ -94,6 +95,11 @@
             self._link = None
             spawn(link.abort(), 'abort link')
 
+    def send(self, message: Message) -> None:
+        """Send a message, if there is a connection."""
+        if self._link is not None:
+            self._link.send(message)
+
     def stop(self) -> None:
         """End the connection."""
         self._task.cancel()
@@ -144,13 +150,13 @@
         self._handle(message, link)
 
 
-class EngineLinkServer:
-    """Accepts the links of entries.
+class PeerServer:
+    """Accepts links.
 
     Parameters
     ----------
     handle
-        Called with each message of an entry.
+        Called with each message of a peer.
     """
 
     def __init__(self, key: str, handle: Callable[[Message], None]) -> None:
@@ -160,8 +166,8 @@
         self._links: dict[Link, str] = {}
 
     @property
-    def entries(self) -> int:
-        """Number of entries that are connected."""
+    def peers(self) -> int:
+        """Number of processes that are connected."""
         return len(set(self._links.values()))
 
     def listen(
@@ -178,7 +184,7 @@
         )
 
     def broadcast(self, message: Message) -> None:
-        """Send a message to every entry."""
+        """Send a message to every peer."""
         for link in self._links:
             link.send(message)
 
@@ -191,12 +197,12 @@
             return
         link = Link(socket)
         self._links[link] = hello.process
-        log_event('link_opened', peer=hello.process, entries=self.entries)
+        log_event('link_opened', peer=hello.process, peers=self.peers)
         try:
             await link.run(self._handle)
         finally:
             self._links.pop(link)
-            log_event('link_closed', peer=hello.process, entries=self.entries)
+            log_event('link_closed', peer=hello.process, peers=self.peers)
 
     async def _greet(self, socket: ServerConnection) -> wire.Hello:
         async with asyncio.timeout(_HANDSHAKE_SECONDS):
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -3,20 +3,26 @@
 import asyncio
 
 from ..clock import SystemClock
+from ..codec import Message
 from ..enginekeeper import EngineKeeper, KeeperPlace
-from ..enginelink import EngineLinkServer
 from ..gen_node import NodeSettings
 from ..httpserver import listen_metrics
+from ..identity import make_identifier
+from ..link import Link
 from ..logs import log_event
 from ..metrics import Metrics
+from ..peerlink import LinkIdentity, PeerLink, PeerServer
 from ..process import spawn
 from .engines import HttpMovableEngine
 
 __all__ = ('EndpointNode',)
 
 # Left of the time until SIGKILL to close what is open.
-_CLOSE_SECONDS = 0.7
+_CLOSE_SECONDS = 0.25
 _TICK_SECONDS = 0.05
+# Entries hear of a new engine within this time while the key-value service,
+# where it would register, is away.
+_ANNOUNCE_SECONDS = 0.5
 
 
 class EndpointNode:
@@ -31,13 +37,13 @@
         self._keeper = EngineKeeper(
             self._engine, place, SystemClock(), self._metrics
         )
-        self._server = EngineLinkServer(settings.link_key, self._keeper.handle)
+        self._server = PeerServer(settings.link_key, self._keeper.handle)
         self._keeper.server = self._server
 
     async def run(self, stop: asyncio.Event) -> None:
         """Follow the engine until asked to stop."""
         settings = self._settings
-        self._metrics.watch('entries', lambda: self._server.entries)
+        self._metrics.watch('entries', lambda: self._server.peers)
         async with self._server.listen(settings.host, settings.link_port):
             runner = None
             if settings.metrics_port:
@@ -45,14 +51,32 @@
                     self._metrics, settings.host, settings.metrics_port
                 )
             keeping = spawn(self._keeper.run(), 'keeper')
+            announcing = spawn(self._announce(), 'announcements')
             await stop.wait()
-            log_event('leaving', entries=self._server.entries)
+            announcing.cancel()
+            log_event('leaving', entries=self._server.peers)
             await self._finish()
             keeping.cancel()
             if runner is not None:
                 await runner.cleanup()
         await self._engine.close()
 
+    async def _announce(self) -> None:
+        """Tell the engine to entries that may not know it."""
+        settings = self._settings
+        identity = LinkIdentity(
+            settings.name, make_identifier(), settings.link_key
+        )
+        links = [
+            PeerLink(f'ws://{seed}', identity, SystemClock(), _ignore)
+            for seed in settings.seeds
+        ]
+        while True:
+            await asyncio.sleep(_ANNOUNCE_SECONDS)
+            if self._keeper.found is not None:
+                for link in links:
+                    link.send(self._keeper.found)
+
     async def _finish(self) -> None:
         """Stay until the engine has gone, as far as the platform lets us.
 
@@ -66,3 +90,7 @@
                     await asyncio.sleep(_TICK_SECONDS)
         except TimeoutError:
             log_event('stopped_with_work_left', 'ERROR')
+
+
+def _ignore(_message: Message, _link: Link) -> None:
+    """Do nothing with what an entry says on this link."""
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -4,6 +4,7 @@
 import functools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import aiohttp
@@ -12,11 +13,12 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from ..backendset import Backend, EngineState
+from ..backendset import EngineState
 from ..clock import Clock
-from ..directcalls import DirectCall, Header, Resumption
+from ..directcalls import DirectCall, Header, Leg
 from ..enginekeeper import EngineReading
 from ..errors import BackendCutError, ErrorKind, NotRunError
+from ..httpclient import never_repeat
 from ..moves import EngineRun
 from . import headers
 
@@ -79,25 +81,12 @@
         ),
         auto_decompress=False,
         skip_auto_headers=_AUTOMATIC,
-        middlewares=(_never_repeat,),
+        middlewares=(never_repeat,),
         max_line_size=_LONGEST_HEAD,
         max_field_size=_LONGEST_HEAD,
     )
 
 
-async def _never_repeat(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # The HTTP library sends a call again by itself when its connection broke
-    # and its method is idempotent by name; repeats are the relay's to decide.
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise BackendCutError(type(error).__name__) from error
-
-
 class _Reply:
     """A back end's answer whose head has come."""
 
@@ -140,21 +129,16 @@
             await self._lazy_session.close()
 
     @asynccontextmanager
-    async def send(
-        self,
-        call: DirectCall,
-        backend: Backend,
-        resumption: Resumption | None = None,
-    ) -> AsyncIterator[_Reply]:
+    async def send(self, call: DirectCall, leg: Leg) -> AsyncIterator[_Reply]:
         """Send a call; leaving the context ends what is still running."""
         if self._lazy_session is None:
             self._lazy_session = _make_session()
-        origin = _SCHEME + backend.record.address
+        origin = _SCHEME + leg.backend.record.address
         try:
             async with self._lazy_session.request(
                 call.method,
                 URL(origin + call.target, encoded=True),
-                headers=self._headers(call, backend, resumption),
+                headers=self._headers(call, leg),
                 data=call.body or None,
                 allow_redirects=False,
             ) as response:
@@ -166,18 +150,14 @@
         except (aiohttp.ClientError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
 
-    def _headers(
-        self,
-        call: DirectCall,
-        backend: Backend,
-        resumption: Resumption | None,
-    ) -> CIMultiDict[str]:
+    def _headers(self, call: DirectCall, leg: Leg) -> CIMultiDict[str]:
         sent = CIMultiDict(call.headers)
         left = min(call.patience, call.deadline) - self._clock.monotonic()
         sent[headers.DEADLINE] = str(max(0, int(left * _MILLISECONDS)))
-        sent[headers.EXPECTED_BACKEND] = backend.name
+        sent[headers.EXPECTED_BACKEND] = leg.backend.name
         if call.organisation:
             sent[headers.ORGANISATION] = call.organisation
+        resumption = leg.resumption
         if resumption is not None:
             origin = f'{resumption.source}/{resumption.handle}'
             sent[headers.MOVED_FROM] = origin
@@ -206,6 +186,15 @@
     cache_handle: str | int
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An engine's answer to a call of its own interface."""
+
+    status: int
+    body: bytes
+    name: str
+
+
 class HttpMovableEngine:
     """The engine on this VM."""
 
@@ -226,11 +215,11 @@
 
     async def read(self) -> EngineReading:
         """Return the report."""
-        status, body = await self._call('GET', '/report', _REPORT_SECONDS)
-        if status != HTTPStatus.OK:
-            raise BackendCutError(f'status {status}')
+        found = await self._call('GET', '/report', _REPORT_SECONDS)
+        if found.status != HTTPStatus.OK:
+            raise BackendCutError(f'status {found.status}')
         try:
-            report = msgspec.json.decode(body, type=_Report)
+            report = msgspec.json.decode(found.body, type=_Report)
             runs = tuple(_to_run(row) for row in report.runs)
         except (msgspec.DecodeError, IndexError) as error:
             raise BackendCutError(str(error)) from error
@@ -248,24 +237,30 @@
             leaves_in=leaves_in and leaves_in / _MILLISECONDS,
         )
 
+    async def identify(self) -> str:
+        """Return the engine's name for this start of it."""
+        found = await self._call('GET', '/healthz', _REPORT_SECONDS)
+        if not found.name:
+            raise BackendCutError('the engine has no name')
+        return found.name
+
     async def copy(self, run: EngineRun, target: str, last: bool) -> str:
         """Copy a generation to another engine and return the handle."""
         order = {'id': run.name, 'to': target, 'last': last}
-        status, body = await self._call(
-            'POST', '/kv-move', _MOVE_SECONDS, order
-        )
-        if status == HTTPStatus.NOT_FOUND:
+        found = await self._call('POST', '/kv-move', _MOVE_SECONDS, order)
+        if found.status == HTTPStatus.NOT_FOUND:
             raise NotRunError(ErrorKind.answer_expired, 'it has ended')
-        if status != HTTPStatus.OK:
-            raise NotRunError(ErrorKind.overloaded, f'status {status}')
+        if found.status != HTTPStatus.OK:
+            raise NotRunError(ErrorKind.overloaded, f'status {found.status}')
         try:
-            return str(msgspec.json.decode(body, type=_Copied).cache_handle)
+            copied = msgspec.json.decode(found.body, type=_Copied)
         except msgspec.DecodeError as error:
             raise BackendCutError(str(error)) from error
+        return str(copied.cache_handle)
 
     async def _call(
         self, method: str, path: str, seconds: float, order: object = None
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         if self._lazy_session is None:
             self._lazy_session = aiohttp.ClientSession()
         try:
@@ -273,7 +268,11 @@
                 async with self._lazy_session.request(
                     method, f'http://{self._address}{path}', json=order
                 ) as response:
-                    return response.status, await response.read()
+                    return _Answer(
+                        response.status,
+                        await response.read(),
+                        response.headers.get(headers.BACKEND, ''),
+                    )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
 
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -9,14 +9,14 @@
 from ..balancing import LeastPressed
 from ..callplacement import CallPlacement, PlacementTools, RelayRules
 from ..clock import SystemClock, make_random
-from ..enginelink import LinkIdentity
 from ..engineview import EngineView
 from ..gen_node import NodeSettings
-from ..httpserver import HttpLimits, listen, listen_metrics
+from ..httpserver import HttpLimits, listen, listen_metrics, split_address
 from ..identity import make_identifier
 from ..logs import log_event
 from ..metrics import Metrics
 from ..moves import NoticeBoard
+from ..peerlink import LinkIdentity, PeerServer
 from ..process import spawn
 from ..relay import Relay, RelayTools
 from ..routes import TableHolder
@@ -41,7 +41,7 @@
 # until then new connections come.
 _NOTICED_SECONDS = 2.6
 # Left of the time until SIGKILL to close what is open.
-_CLOSE_SECONDS = 0.7
+_CLOSE_SECONDS = 0.25
 _EVERYTHING = ''
 
 
@@ -74,6 +74,9 @@
             self._tables, self._backends, self._clock, self._engines.update
         )
         self._front = self._make_front()
+        self._peers = PeerServer(
+            settings.link_key, self._engines.take_announcement
+        )
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until asked to stop, then end gracefully."""
@@ -99,9 +102,10 @@
             spawn(self._make_watcher().run(), 'beliefs'),
             spawn(self._tick(), 'tick'),
         ]
-        await stop.wait()
-        await self._drain()
-        await self._close(tasks, runners)
+        async with self._peers.listen(*split_address(settings.entry.peers)):
+            await stop.wait()
+            await self._drain()
+            await self._close(tasks, runners)
 
     def _make_front(self) -> Front:
         random = make_random()
--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -7,6 +7,7 @@
 
 __all__ = (
     'ATTEMPT',
+    'BACKEND',
     'DEADLINE',
     'EXPECTED_BACKEND',
     'LAST_EVENT',
@@ -27,6 +28,8 @@
 DEADLINE = 'Primrosewood-Deadline-Ms'
 # The back end must be the one of this name, or it answers 421.
 EXPECTED_BACKEND = 'Primrosewood-Expect-Instance'
+# Name of the back end that answers.
+BACKEND = 'Primrosewood-Instance-Id'
 ORGANISATION = 'Primrosewood-Tenant'
 # The back end certifies an answer as its own.
 SEAL = 'Primrosewood-Response-Seal'
--- a/primrosewood/platform/store.py
+++ b/primrosewood/platform/store.py
@@ -10,7 +10,12 @@
 import aiohttp
 import msgspec
 
-from ..errors import HistoryLostError, StoreUnavailableError
+from ..errors import (
+    BackendCutError,
+    HistoryLostError,
+    StoreUnavailableError,
+)
+from ..httpclient import never_repeat
 from ..kv import Change, KeyValue, Listing, Pair, Swap
 
 __all__ = ('PlatformStore',)
@@ -22,6 +27,9 @@
 _WATCH_SLACK_SECONDS = 2.0
 
 
+_UNANSWERED = (BackendCutError, aiohttp.ClientError, TimeoutError, OSError)
+
+
 class _Item(msgspec.Struct):
     """A key with its value, or a deletion."""
 
@@ -194,30 +202,18 @@
                     method, f'{self._url}{path}', params=query, json=json
                 ) as response:
                     return response.status, await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except _UNANSWERED as error:
             raise StoreUnavailableError(type(error).__name__) from error
 
     def _session(self) -> aiohttp.ClientSession:
         if self._lazy_session is None:
             self._lazy_session = aiohttp.ClientSession(
                 timeout=aiohttp.ClientTimeout(total=None),
-                middlewares=(_never_repeat,),
+                middlewares=(never_repeat,),
             )
         return self._lazy_session
 
 
-async def _never_repeat(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # The HTTP library sends a GET again by itself when its connection broke;
-    # calls are counted and paid for, and whoever polls decides when to read
-    # again.
-    try:
-        return await handler(request)
-    except aiohttp.ServerDisconnectedError as error:
-        raise StoreUnavailableError('disconnected') from error
-
-
 def _decode(status: int, body: bytes, kind: type) -> Any:
     _require_ok(status)
     try:
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -11,6 +11,7 @@
     AnswerSink,
     BackendReply,
     DirectCall,
+    Leg,
     Resumption,
     Transport,
 )
@@ -48,14 +49,6 @@
     metrics: Metrics
 
 
-@dataclass(frozen=True, slots=True)
-class _Leg:
-    """One back end's part in a stream."""
-
-    backend: Backend
-    resumption: Resumption | None = None
-
-
 class Relay:
     """Brings each direct call to one back end and its answer back."""
 
@@ -121,16 +114,15 @@
     async def _fetch_patiently(
         self, progress: CallProgress, backend: Backend
     ) -> tuple[AnswerHead, bytes]:
-        with self._placement.book(progress, backend):
-            async with self._tools.transport.send(
-                progress.call, backend
-            ) as reply:
+        leg = Leg(backend)
+        with self._placement.book(progress, leg):
+            async with self._tools.transport.send(progress.call, leg) as reply:
                 return await _read_whole(reply)
 
     async def _answer_stream(
         self, progress: CallProgress, sink: AnswerSink
     ) -> None:
-        leg = _Leg(self._placement.choose(progress))
+        leg = self._begin(progress)
         while True:
             try:
                 await self._follow(progress, leg, sink)
@@ -142,16 +134,13 @@
                 return
 
     async def _follow(
-        self, progress: CallProgress, leg: _Leg, sink: AnswerSink
+        self, progress: CallProgress, leg: Leg, sink: AnswerSink
     ) -> None:
         call = progress.call
         # A notice of an earlier move must not explain a later cut.
         self._tools.notices.forget(call.name)
-        resumed = leg.resumption is not None
-        with self._placement.book(progress, leg.backend, resumed) as booking:
-            async with self._tools.transport.send(
-                call, leg.backend, leg.resumption
-            ) as reply:
+        with self._placement.book(progress, leg) as booking:
+            async with self._tools.transport.send(call, leg) as reply:
                 if reply.status == _STATUS_OK:
                     first = booking.note_first_event
                     await self._pass_on(progress, reply, sink, first)
@@ -192,19 +181,22 @@
         await sink.begin(head)
         await sink.write(body)
 
+    def _begin(self, progress: CallProgress) -> Leg:
+        return Leg(self._placement.choose(progress))
+
     def _send_again(
-        self, progress: CallProgress, leg: _Leg, error: NotRunError
-    ) -> _Leg:
+        self, progress: CallProgress, leg: Leg, error: NotRunError
+    ) -> Leg:
         if leg.resumption is not None:
             raise self._placement.end(
                 progress, ErrorKind.outcome_unknown, error
             ) from error
         self._placement.reconsider(progress, leg.backend, error)
-        return _Leg(self._placement.choose(progress))
+        return self._begin(progress)
 
     async def _go_on(
-        self, progress: CallProgress, leg: _Leg, error: Exception
-    ) -> _Leg:
+        self, progress: CallProgress, leg: Leg, error: Exception
+    ) -> Leg:
         """Return where a stream that was cut goes on."""
         progress.ran = 1
         notice = await self._await_notice(progress, leg.backend)
@@ -223,8 +215,9 @@
         )
         self._tools.metrics.count('resumed')
         backend = self._placement.find_address(progress, notice.target)
-        return _Leg(
-            backend, Resumption(notice.source, notice.handle, last_event)
+        return Leg(
+            backend,
+            Resumption(notice.source, notice.handle, last_event),
         )
 
     async def _await_notice(
