Wait for room on a leaving engine instead of giving its streams up

Cause: an entry that had just started answered the question for room first, with none; the process beside the engine then gave up all eight streams there at once, two seconds before the engine went.

Change: empty answers do not count; a generation without a target is tried again with fresh room until the engine has gone; entries hear at once which streams no notice will come for.

--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -167,6 +167,9 @@
         self._take(reading)
 
     def _take_room(self, message: wire.RoomTold) -> None:
+        # An entry that has just started knows no engines yet; another one does.
+        if not message.engines:
+            return
         if self._room is not None and not self._room.done():
             self._room.set_result(
                 [
@@ -180,6 +183,7 @@
     def _lose_engine(self, error: BackendCutError) -> None:
         if self._reading is not None:
             log_event('engine_lost', 'WARNING', why=error)
+            self._tell_lost(self._reading.runs)
         self._reading = None
         self.found = None
         self._done.clear()
@@ -221,22 +225,30 @@
 
     async def _move_all(self) -> None:
         """Move what runs here, one after another, until nothing is left."""
+        targets: list[MoveTarget] = []
         try:
-            targets = await self._ask_room()
             while self._reading is not None:
                 runs = self._left_to_move(self._reading.runs)
                 if not runs:
                     return
-                if (
-                    choose_target(runs[0], targets, self._place.failure_domain)
-                    is None
-                ):
+                if self._target(runs[0], targets) is None:
                     # What was told is spent or old; others end meanwhile.
                     targets = await self._ask_room()
                 targets = await self._move(runs[0], targets)
         finally:
             self._moving = None
 
+    def _tell_lost(self, runs: Sequence[EngineRun]) -> None:
+        """Tell entries at once for which streams no notice will come."""
+        for run in self._left_to_move(runs):
+            self._done.add(run.name)
+            self._tell_move(run, '', '')
+
+    def _target(
+        self, run: EngineRun, targets: Sequence[MoveTarget]
+    ) -> MoveTarget | None:
+        return choose_target(run, targets, self._place.failure_domain)
+
     def _left_to_move(self, runs: Sequence[EngineRun]) -> list[EngineRun]:
         return plan_moves([run for run in runs if run.name not in self._done])
 
@@ -256,16 +268,17 @@
         self, run: EngineRun, targets: list[MoveTarget]
     ) -> list[MoveTarget]:
         """Move one generation; return the targets with the room left."""
-        self._done.add(run.name)
         for _ in range(_MOST_TRIES):
-            target = choose_target(run, targets, self._place.failure_domain)
+            target = self._target(run, targets)
             if target is None:
-                break
+                await asyncio.sleep(_READ_SECONDS)
+                return targets
+            self._done.add(run.name)
             try:
                 handle = await self._copy(run, target.address)
             except (NotRunError, BackendCutError) as error:
                 self._note_failure(run, target, error)
-                if _has_ended(error):
+                if _has_ended(error) or self._reading is None:
                     return targets
                 # Its room was told wrong, or it cannot be reached.
                 targets = take_room(targets, target.address, target.free_tokens)
