Take streams that end in time on while an entry is stopped

Ruled out: a later time to come back (the balancer needs two misses, and the first piece would be late); taking all on (most guides outlive the stop).

Change: a stream begins if its expected length fits 0.7 of what is left of the stop; a caller that comes back is let in.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -240,6 +240,17 @@
             raise self.end(progress, ErrorKind.outcome_unknown)
         return backend
 
+    def guess_length(self, call: DirectCall) -> int:
+        """Return the tokens that a call's answer is expected to have."""
+        size = call.size
+        if size is None:
+            return 0
+        guess = size.hint
+        if not guess:
+            outlook = self._tools.lengths.predict(_group(call), 0)
+            guess = int(outlook.remaining)
+        return min(guess, size.most_tokens) if size.most_tokens else guess
+
     def engine_traits(self, service: str) -> EngineTraits | None:
         """Return what a service's engines can do, None for plain ones."""
         traits = self._traits(service)
@@ -270,13 +281,7 @@
         size = call.size
         if size is None:
             return None
-        answer = size.hint
-        if not answer:
-            outlook = self._tools.lengths.predict(_group(call), 0)
-            answer = int(outlook.remaining)
-        if size.most_tokens:
-            answer = min(answer, size.most_tokens)
-        return BookedTokens(size.prompt_tokens, answer)
+        return BookedTokens(size.prompt_tokens, self.guess_length(call))
 
     def _traits(self, service: str) -> ServiceTraits | None:
         table = self._tools.tables.table
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -21,6 +21,7 @@
 from ..relay import Relay, RelayTools
 from ..routes import TableHolder
 from ..shares import EntryCount, RepeatRule
+from ..stopping import StopWindow
 from ..watcher import Watcher, WatchPace
 from .beliefs import Beliefs
 from .engines import HttpTransport
@@ -73,6 +74,7 @@
         self._beliefs = Beliefs(
             self._tables, self._backends, self._clock, self._engines.update
         )
+        self._stop = StopWindow(settings.limits.stop_seconds - _CLOSE_SECONDS)
         self._front = self._make_front()
         self._peers = PeerServer(
             settings.link_key, self._engines.take_announcement
@@ -139,7 +141,12 @@
             metrics=self._metrics,
         )
         return Front(
-            Relay(tools), self._tables, self._clock, random, self._metrics
+            Relay(tools),
+            self._tables,
+            self._clock,
+            random,
+            self._metrics,
+            self._stop,
         )
 
     def _make_watcher(self) -> Watcher:
@@ -163,7 +170,7 @@
         # Stays ready through an outage of the key-value service, with what
         # is known.
         known = self._tables.table is not None and self._backends.backends
-        return bool(known) and not self._front.stopping
+        return bool(known) and not self._stop.begun
 
     async def _tick(self) -> None:
         while True:
@@ -174,10 +181,9 @@
     async def _drain(self) -> None:
         """Serve on until the balancer has noticed and all are answered."""
         log_event('draining', active=self._front.active)
-        self._front.stopping = True
-        seconds = self._settings.limits.stop_seconds - _CLOSE_SECONDS
+        self._stop.begin(self._clock.monotonic())
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(self._stop.seconds):
                 await asyncio.sleep(_NOTICED_SECONDS)
                 while self._front.active:
                     await asyncio.sleep(_TICK_SECONDS)
--- a/primrosewood/platform/front.py
+++ b/primrosewood/platform/front.py
@@ -16,6 +16,7 @@
 from ..process import log_failure
 from ..relay import Relay
 from ..routes import Route, RouteTable, TableHolder, choose_target
+from ..stopping import StopWindow
 from . import headers
 
 __all__ = ('Front', 'answer_ready')
@@ -32,8 +33,9 @@
 
     Attributes
     ----------
-    stopping
-        Whether a planned stop has begun: connections end with their answers.
+    stop
+        The planned stop; once it has begun, connections end with their
+        answers.
     """
 
     def __init__(
@@ -43,15 +45,16 @@
         clock: Clock,
         random: RandomSource,
         metrics: Metrics,
+        stop: StopWindow,
     ) -> None:
         """Take the relay that answers."""
+        self.stop = stop
         self._relay = relay
         self._tables = tables
         self._clock = clock
         self._random = random
         self._metrics = metrics
         self._active = 0
-        self.stopping = False
 
     @property
     def active(self) -> int:
@@ -96,6 +99,10 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
         call = await self._read_call(request, arrived)
+        if not self.stop.admits(call, self._relay.guess_length(call), arrived):
+            raise RequestFailedError(
+                ErrorKind.leaving, retry_seconds=_LEAVING_RETURN
+            )
         writer = _AnswerWriter(request, self._close_after)
         try:
             await self._relay.answer(call, writer)
@@ -122,10 +129,6 @@
         table = self._tables.table
         route = _find_route(request, table)
         organisation = _identify(raw, route, table)
-        if self.stopping and route.streaming:
-            raise RequestFailedError(
-                ErrorKind.leaving, retry_seconds=_LEAVING_RETURN
-            )
         patience = headers.parse_deadline(
             headers.find_header(raw, headers.DEADLINE)
         )
@@ -179,7 +182,7 @@
         self._metrics.count('callers_left')
 
     def _close_after(self, response: web.StreamResponse) -> None:
-        if self.stopping:
+        if self.stop.begun:
             response.force_close()
 
 
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -76,6 +76,10 @@
                 progress, ErrorKind.deadline_exceeded
             ) from error
 
+    def guess_length(self, call: DirectCall) -> int:
+        """Return the tokens that a call's answer is expected to have."""
+        return self._placement.guess_length(call)
+
     async def _answer(self, progress: CallProgress, sink: AnswerSink) -> None:
         if progress.call.size is None:
             await self._answer_whole(progress, sink)
--- /dev/null
+++ b/primrosewood/stopping.py
@@ -0,0 +1,75 @@
+"""What an entry still takes on during a planned stop."""
+
+from .directcalls import DirectCall
+from .identity import digest_key
+
+__all__ = ('StopWindow',)
+
+# Seconds an engine takes for a token with some neighbours, and tokens of a
+# prompt that it reads a second; both as the engines' sheet has them.
+_TOKEN_SECONDS = 0.009
+_READING_RATE = 14_000
+# Lengths are guesses; a stream whose guess fills more than this share of the
+# time that is left would rather often be cut.
+_FILLED = 0.7
+
+
+class StopWindow:
+    """Decides which streams may begin while the process is being stopped.
+
+    A stream cannot be handed to another entry, as its connection ends with
+    this process.  One that would outlive the process is refused at once, with
+    a time to come back so short that it is on time elsewhere.  Where the
+    balancer has no other entry the caller comes back here; then a stream that
+    may be cut is better than none.
+
+    Parameters
+    ----------
+    seconds
+        From the signal to the end of the process.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        """Start without a stop."""
+        self._seconds = seconds
+        self._ends_at: float | None = None
+        self._refused: set[str] = set()
+
+    @property
+    def seconds(self) -> float:
+        """From the signal to the end of the process."""
+        return self._seconds
+
+    @property
+    def begun(self) -> bool:
+        """Whether the process is being stopped."""
+        return self._ends_at is not None
+
+    def begin(self, now: float) -> None:
+        """Note the signal."""
+        self._ends_at = now + self._seconds
+
+    def admits(self, call: DirectCall, answer_tokens: int, now: float) -> bool:
+        """Tell whether a call may begin.
+
+        Parameters
+        ----------
+        call
+            The call.
+        answer_tokens
+            Expected length of its answer.
+        now
+            Monotonic seconds.
+        """
+        if self._ends_at is None or call.size is None:
+            return True
+        seconds = answer_tokens * _TOKEN_SECONDS
+        seconds += call.size.prompt_tokens / _READING_RATE
+        if seconds <= (self._ends_at - now) * _FILLED:
+            return True
+        # A caller that comes back does so under another name.
+        asked = digest_key(call.target, call.organisation, call.body.hex())
+        if asked in self._refused:
+            return True
+        self._refused.add(asked)
+        return False
