--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -48,7 +48,6 @@
     timeout_ms: Number
     # Within it an answer earns all it can: an objective, not a limit.
     goal_ms: Number = 0
-    priority: int = 0
     # Empty where the route splits its calls.
     service: str = ''
     split: list[_Split] = []
@@ -171,7 +170,6 @@
         timeout=route.timeout_ms / _MILLISECONDS,
         objective=route.goal_ms / _MILLISECONDS,
         max_endpoints=max(1, route.max_attempts),
-        priority=route.priority,
         anonymous=route.anonymous,
     )
 
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -62,7 +62,6 @@
     timeout: float
     objective: float
     max_endpoints: int = 1
-    priority: int = 0
     anonymous: bool = False
 
     @property
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -92,16 +92,22 @@
 
     def __init__(self, timing: dict | None = None, **options) -> None:
         """Prepare; ``start`` opens."""
-        self.folder = Path(tempfile.mkdtemp(prefix='primrosewood-test-'))
+        self._temporary = tempfile.TemporaryDirectory(
+            prefix='primrosewood-test-'
+        )
+        self.folder = Path(self._temporary.name)
         self.timing = {**FAST_TIMING, **(timing or {})}
         self.options = options
         self.parts: dict[str, Part] = {}
         self.http: aiohttp.ClientSession | None = None
         self._log = (self.folder / 'log').open('ab')
+        self._kept_log: str | None = None
 
     @property
     def log_text(self) -> str:
         """All log lines so far."""
+        if self._kept_log is not None:
+            return self._kept_log
         return (self.folder / 'log').read_text(encoding='utf-8')
 
     def url(self, name: str) -> str:
@@ -229,6 +235,8 @@
         for part in self.parts.values():
             part.process.wait()
         self._log.close()
+        self._kept_log = self.log_text
+        self._temporary.cleanup()
         await self.http.close()
 
     async def put_settings(self, team: str, document: dict, path='') -> dict:
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,87 @@
+"""The deploy file, its templates and its pinned libraries."""
+
+import json
+import re
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from primrosewood.config import load_node
+from primrosewood.errors import SettingsInvalidError
+
+_ROOT = Path(__file__).resolve().parents[1]
+_PLACEHOLDER = re.compile(r'\{\{([a-z_.0-9]+)(\|json)?\}\}')
+_FIELDS = {
+    'node_name': 'edge-1',
+    'ip': '10.1.0.19',
+    'zone': 'abertawe',
+    'port_range': [7200, 7215],
+    'seeds': ['10.1.0.19:8748', '10.2.0.13:8748'],
+    'app': '10.1.0.21:8745',
+    'service': 'huvo11a',
+    'listen_addrs': {
+        'front': '10.1.0.19:8740',
+        'ready_addr': '10.1.0.19:8749',
+        'control_addr': '10.1.0.19:8748',
+    },
+    'platform': {'address': '10.200.1.7:8742'},
+    'bounds': {
+        'grace_s': 8,
+        'retry_budget_ratio': 0.2,
+        'retry_slack': 56,
+        'budget_window_s': 10,
+        'cold_overrun': 1.5,
+        'cold_slack': 5,
+    },
+}
+
+
+def fill(template, fields):
+    """Fill a template in as the platform does."""
+
+    def replace(found):
+        value = fields
+        for name in found[1].split('.'):
+            value = value[int(name) if name.isdigit() else name]
+        return json.dumps(value) if found[2] else str(value)
+
+    return _PLACEHOLDER.sub(replace, template)
+
+
+class DeployTest(unittest.TestCase):
+    """What the platform builds and starts."""
+
+    def load(self, role, fields):
+        template = (_ROOT / 'deploy' / f'{role}.json').read_text()
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / 'node.json'
+            file.write_text(fill(template, fields))
+            return load_node(str(file), role)
+
+    def test_templates_give_settings(self):
+        entry = self.load('entry', _FIELDS)
+        self.assertEqual('10.1.0.19:8740', entry.entry.callers)
+        self.assertEqual(
+            (7200, 8), (entry.link_port, entry.limits.stop_seconds)
+        )
+        endpoint = self.load('endpoint', _FIELDS)
+        self.assertEqual('10.1.0.21:8745', endpoint.endpoint.engine)
+        self.assertEqual(2, len(endpoint.seeds))
+
+    def test_field_of_another_type_is_refused(self):
+        with self.assertRaises(SettingsInvalidError) as caught:
+            self.load('entry', {**_FIELDS, 'ip': 5})
+        self.assertIn('/host: ', str(caught.exception))
+
+    def test_roles_name_files_that_are_there(self):
+        deploy = tomllib.loads((_ROOT / 'deploy' / 'system.toml').read_text())
+        for role in deploy['roles'].values():
+            self.assertTrue((_ROOT / role['template']).is_file())
+
+    def test_pins_are_those_of_the_project(self):
+        """The platform would run other versions than the tests do."""
+        project = tomllib.loads((_ROOT / 'pyproject.toml').read_text())
+        pinned = set(project['project']['dependencies'])
+        lines = (_ROOT / 'deploy' / 'requirements.txt').read_text().split()
+        self.assertLessEqual(set(lines), pinned)
