Move a refused generation again while its engine still runs it

Ruled out: a lost notice (no process sent one), the link (it was up).

Change: only a generation that moved or ended is settled; the others are tried until the engine goes, and told as lost in that moment.

--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -186,13 +186,13 @@
             self._tell_lost(self._reading.runs)
         self._reading = None
         self.found = None
-        self._done.clear()
         # Entries would take silence for the loss of this process.
         self._tell(_GONE, at_once=False)
 
     def _take(self, reading: EngineReading) -> None:
         if self._reading is None:
             log_event('engine_found', address=self._engine.address)
+            self._done.clear()
         was_leaving = self._reading and self._reading.state.leaving
         self._reading = reading
         leaving = reading.state.leaving
@@ -267,27 +267,36 @@
     async def _move(
         self, run: EngineRun, targets: list[MoveTarget]
     ) -> list[MoveTarget]:
-        """Move one generation; return the targets with the room left."""
+        """Move one generation; return the targets with the room left.
+
+        One that could not be moved stays to be tried again: it runs on until
+        its engine goes.
+        """
         for _ in range(_MOST_TRIES):
             target = self._target(run, targets)
-            if target is None:
-                await asyncio.sleep(_READ_SECONDS)
-                return targets
-            self._done.add(run.name)
-            try:
-                handle = await self._copy(run, target.address)
-            except (NotRunError, BackendCutError) as error:
-                self._note_failure(run, target, error)
-                if _has_ended(error) or self._reading is None:
-                    return targets
-                # Its room was told wrong, or it cannot be reached.
-                targets = take_room(targets, target.address, target.free_tokens)
-                continue
-            self._tell_move(run, target.address, handle)
-            return take_room(targets, target.address, run.tokens)
-        self._tell_move(run, '', '')
+            if target is None or self._reading is None:
+                break
+            if await self._move_to(run, target):
+                return take_room(targets, target.address, run.tokens)
+            # Its room was told wrong, or it cannot be reached.
+            targets = take_room(targets, target.address, target.free_tokens)
+        await asyncio.sleep(_READ_SECONDS)
         return targets
 
+    async def _move_to(self, run: EngineRun, target: MoveTarget) -> bool:
+        """Tell whether a generation is settled: moved, or complete."""
+        try:
+            handle = await self._copy(run, target.address)
+        except (NotRunError, BackendCutError) as error:
+            self._note_failure(run, target, error)
+            settled = _has_ended(error)
+        else:
+            self._tell_move(run, target.address, handle)
+            settled = True
+        if settled:
+            self._done.add(run.name)
+        return settled
+
     async def _copy(self, run: EngineRun, target: str) -> str:
         started = self._clock.monotonic()
         await self._engine.copy(run, target, last=False)
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -160,6 +160,33 @@
         await self.wait_for(lambda: len(self.server.moves()) == 2)
         self.assertIn(('small', 'b:1'), self.server.moves())
 
+    async def test_refused_generation_is_tried_again(self):
+        """Every engine refuses a copy, and room comes up a moment later.
+
+        The generation still runs on the leaving engine; given up after the
+        first refusals its stream was lost with a second of notice to spare.
+        """
+        self.server.answers = [ROOM]
+        self.engine.failures = [NotRunError(ErrorKind.overloaded)] * 5
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+        self.assertNotIn('', [target for _, target in self.server.moves()])
+
+    async def test_engine_goes_in_the_middle_of_a_copy(self):
+        """An engine goes while its last stream is being copied.
+
+        The caller was told a second later, when its entry had stopped waiting
+        for the notice of a move.
+        """
+        self.server.answers = [ROOM]
+        self.engine.failures = [BackendCutError('gone')] * 9
+        self.engine.leaving = True
+        await self.wait_for(lambda: not self.engine.failures[:-1])
+        self.engine.gone = True
+        await self.wait_for(
+            lambda: set(self.server.moves()) == {('small', ''), ('big', '')}
+        )
+
     async def test_generation_that_has_ended_needs_no_move(self):
         self.server.answers = [ROOM]
         self.engine.failures = [NotRunError(ErrorKind.answer_expired)]
