--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,217 @@
+"""A small deployment on loopback, in one process, for tests of the whole path.
+
+Entry and endpoint nodes as they are started there, against stand-ins of the
+key-value service, engines and plain services; each VM is a loopback address.
+"""
+
+import asyncio
+import contextlib
+import json
+import unittest
+
+import aiohttp
+from aiohttp import web
+from yarl import URL
+
+from primrosewood.gen_node import (
+    EndpointNode as EndpointSettings,
+)
+from primrosewood.gen_node import (
+    EntryNode as EntrySettings,
+)
+from primrosewood.gen_node import NodeSettings, SharedLimits
+from primrosewood.platform.endpoint import EndpointNode
+from primrosewood.platform.entry import EntryNode
+from standins.backends import Copies, EngineStandIn, ServiceStandIn
+from standins.store import StoreStandIn
+
+from .processes.harness import free_port
+
+LIMITS = SharedLimits(
+    stop_seconds=4,
+    repeat_ratio=0.2,
+    repeat_slack=50,
+    repeat_window_seconds=10,
+    cold_factor=1.5,
+    cold_slack=5,
+)
+KEY = {'Authorization': 'Bearer key-1'}
+GUIDE = {'Primrosewood-Token-Usage': '1000,80', **KEY}
+
+
+def make_table(version=1, keys=('key-1',), prefix='/lookup/'):
+    def route(name, path, kind, service, **fields):
+        return {
+            'name': name,
+            'host': 'h.example',
+            'path_prefix': path,
+            'route_kind': kind,
+            'timeout_ms': 5000,
+            'goal_ms': 500,
+            'service': service,
+            'max_attempts': 2 if kind == 'idempotent' else 1,
+            **fields,
+        }
+
+    return {
+        'version': version,
+        'routes': [
+            route('guide', '/guide/', 'streaming', 'model'),
+            route('issue', '/issue/', 'non_idempotent', 'desk'),
+            route('lookup', prefix, 'idempotent', 'desk'),
+            route('open', '/open/', 'idempotent', 'desk', anonymous=True),
+        ],
+        'services': [
+            {
+                'name': 'model',
+                'engine': {'slots': 8, 'kv_capacity': 30_000, 'moves': True},
+            },
+            {'name': 'desk'},
+        ],
+        'limits': {'max_header_bytes': 4000, 'max_body_bytes': 10_000},
+        'tenants': [{'name': 'o1', 'api_keys': list(keys)}],
+    }
+
+
+class Deployment(unittest.IsolatedAsyncioTestCase):
+    """Two engines with their endpoint processes, one service, one entry."""
+
+    async def asyncSetUp(self):
+        self.link_port = free_port()
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.session = aiohttp.ClientSession()
+        self.stack.push_async_callback(self.session.close)
+        self.stand_in = StoreStandIn()
+        self.store_address = f'127.0.0.1:{free_port()}'
+        await self.serve(self.stand_in.make_app(), self.store_address)
+        self.copies = Copies()
+        self.engines = {}
+        await self.put('op/config', make_table())
+        self.service = ServiceStandIn('i-desk')
+        await self.add('i-desk', 'desk', self.service, '127.0.0.9')
+        for number in (1, 2):
+            await self.add_engine(f'i-{number}', f'127.0.0.{number + 1}')
+        self.callers = f'127.0.0.1:{free_port()}'
+        self.ready = f'127.0.0.1:{free_port()}'
+        self.peers = f'127.0.0.1:{free_port()}'
+        self.metrics_port = free_port()
+        self.stop = asyncio.Event()
+        self.entry = await self.start_entry(self.stop)
+        await self.wait_ready()
+
+    async def serve(self, app, address):
+        if isinstance(app, web.Application):
+            runner = web.AppRunner(app, shutdown_timeout=0.1)
+        else:
+            server = web.Server(app, handler_cancellation=True)
+            runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        host, _, port = address.partition(':')
+        await web.TCPSite(runner, host, int(port)).start()
+
+    async def put(self, key, document):
+        await self.stand_in.store.put(key, json.dumps(document).encode())
+
+    async def add(self, name, service, back_end, host, port=0):
+        address = f'{host}:{port or free_port()}'
+        await self.serve(back_end.handle, address)
+        await self.register(name, service, address)
+        return address
+
+    async def register(self, name, service, address, **fields):
+        record = {
+            'service': service,
+            'address': address,
+            'zone': 'd1',
+            'slots': 8,
+            'state': 'ready',
+            **fields,
+        }
+        await self.put(f'servers/{name}', record)
+
+    async def add_engine(self, name, host, seeds=(), register=True):
+        address = f'{host}:{free_port()}'
+        engine = EngineStandIn(name, address, self.copies)
+        self.engines[name] = engine
+        await self.serve(engine.handle, address)
+        if register:
+            await self.register(name, 'model', address)
+        settings = self.make_settings(
+            f'side-{name}',
+            host,
+            endpoint=EndpointSettings(engine=address, service='model'),
+            seeds=list(seeds),
+        )
+        self.run_node(EndpointNode(settings), asyncio.Event())
+
+    def make_settings(self, name, host, **fields):
+        return NodeSettings(
+            name=name,
+            host=host,
+            failure_domain='d1',
+            link_port=self.link_port,
+            link_key='',
+            store=self.store_address,
+            limits=LIMITS,
+            **{'metrics_port': 0, 'seeds': [], **fields},
+        )
+
+    async def start_entry(self, stop):
+        settings = self.make_settings(
+            'entry-1',
+            '127.0.0.1',
+            entry=EntrySettings(
+                callers=self.callers, ready=self.ready, peers=self.peers
+            ),
+            metrics_port=self.metrics_port,
+        )
+        return self.run_node(EntryNode(settings), stop)
+
+    def run_node(self, node, stop):
+        task = asyncio.create_task(node.run(stop))
+
+        async def end():
+            stop.set()
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+        self.stack.push_async_callback(end)
+        return task
+
+    async def wait_for(self, condition, seconds=10):
+        async with asyncio.timeout(seconds):
+            while not await condition():
+                await asyncio.sleep(0.02)
+
+    async def is_ready(self):
+        try:
+            async with self.session.get(
+                f'http://{self.ready}/readyz'
+            ) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self):
+        await self.wait_for(self.is_ready)
+
+    async def call(self, method, path, name='ab12', headers=KEY, **fields):
+        async with self.session.request(
+            method,
+            URL(f'http://{self.callers}{path}', encoded=True),
+            headers={
+                'Host': 'h.example',
+                'Primrosewood-Attempt-Id': name,
+                'Primrosewood-Deadline-Ms': '4000',
+                **headers,
+            },
+            **fields,
+        ) as response:
+            return response, await response.read()
+
+    async def status(self, *args, **fields):
+        response, _body = await self.call(*args, **fields)
+        return response.status
--- /dev/null
+++ b/tests/test_platform_explain.py
@@ -0,0 +1,108 @@
+"""From a request's id to the cause of its failure, by logs alone.
+
+Each test does what docs/OPERATIONS.md says, on the lines of a run against the
+stand-ins.
+"""
+
+import asyncio
+import re
+import sys
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+import aiohttp
+from loguru import logger
+
+from primrosewood.logs import configure_logs
+
+from .deployment import GUIDE, Deployment
+
+
+class ExplainTest(Deployment):
+    """Three kinds of failed request."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / 'lines'
+        lines = self.file.open('w')
+        self.addCleanup(lines.close)
+        with mock.patch('sys.stdout', lines):
+            configure_logs('all-of-them')
+        self.addCleanup(self.restore_logs)
+        await super().asyncSetUp()
+
+    def restore_logs(self):
+        logger.remove()
+        logger.add(sys.stderr)
+
+    def grep(self, pattern):
+        lines = self.file.read_text().splitlines()
+        return [line for line in lines if re.search(pattern, line)]
+
+    async def test_stream_that_broke_off(self):
+        """A reader complains that a guide stopped halfway."""
+        await self.wait_for(self.has_reports)
+        reading = asyncio.create_task(
+            self.call('POST', '/guide/1', headers=GUIDE)
+        )
+        await asyncio.sleep(0.2)
+        for engine in self.engines.values():
+            engine.crash()
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await reading
+        lines = self.grep('request=ab12')
+        self.assertIn('event=sent', lines[0])
+        self.assertIn('version=1', lines[0])
+        self.assertIn('report_age=', lines[0])
+        self.assertIn('event=call_failed', lines[-1])
+        self.assertIn('kind=generation_lost', lines[-1])
+        self.assertIn('why=ClientPayloadError', lines[-1])
+        self.assertEqual([], self.grep('event=(not_moved|move_failed)'))
+
+    async def has_reports(self):
+        url = f'http://127.0.0.1:{self.metrics_port}/metrics'
+        async with self.session.get(url) as response:
+            return 'primrosewood_entries 1.0' in await response.text()
+
+    async def test_refused_though_it_should_have_run(self):
+        """A shop complains that look-ups were refused for a while."""
+        await self.put('op/evacuate/d1', {})
+
+        async def is_refused():
+            return await self.status('GET', '/lookup/', name='cd34') == 503
+
+        await self.wait_for(is_refused, seconds=3)
+        refused = self.grep('request=cd34')[-1]
+        self.assertIn('event=refused', refused)
+        self.assertIn('kind=no_endpoint', refused)
+        self.assertIn('ran=no', refused)
+        out = self.grep(
+            'event=(endpoint_out|endpoint_missing|failure_domain_out)'
+        )
+        self.assertIn('failure_domain=d1', out[-1])
+        self.assertIn('revision=', out[-1])
+
+    async def test_outcome_that_nobody_knows(self):
+        """A counter complains: was the reorder placed or not?"""
+        self.service.spoil = lambda request: request.transport.abort()
+        self.assertEqual(502, await self.status('POST', '/issue/', data=b'x'))
+        doubtful = self.grep('request=ab12.*event=send_failed') or self.grep(
+            'event=send_failed.*request=ab12'
+        )
+        self.assertEqual(1, len(doubtful))
+        self.assertIn('doubtful=True', doubtful[0])
+        refused = self.grep('event=refused.*request=ab12')[0]
+        self.assertIn('ran=unknown', refused)
+        self.assertEqual(1, len(self.grep('event=sent.*request=ab12')))
+
+    async def test_no_secret_in_any_line(self):
+        await self.call('POST', '/guide/1', headers=GUIDE, data=b'our prompt')
+        await self.call(
+            'GET', '/lookup/', headers={'Authorization': 'Bearer z9'}
+        )
+        text = self.file.read_text()
+        for secret in ('key-1', 'z9', 'our prompt', 'found'):
+            self.assertNotIn(f'={secret}', text)
+            self.assertNotIn(f'"{secret}', text)
