Keep a full or silent engine's place: its name may come late, old reports go

Cause, by reading: the process beside an engine asked for its name before it took a report; a full engine's health answer waits for a slot, and the engine was told as gone. A report that no newer one followed stayed for ever, with all that was opened since added to it.

Ruled out: longer time-outs (the reading would still be held up).

Change: the name is learned beside the reading, a second between two tries; reports older than 3 s are forgotten, but for a leave. The test of the name failed before; the one of old reports had nothing to call.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -19,6 +19,8 @@
 _SUSPECT_SECONDS = 1.0
 # Names of back ends that are remembered after they left.
 _MOST_GONE = 4096
+# Reports come twice a second at the least.
+_REPORT_SECONDS = 3.0
 # Back ends of a failure domain that has just been let in again may be cold
 # before their own record says so: their records are written every 1.2 s.
 _RETURN_SECONDS = 3.0
@@ -125,6 +127,18 @@
         self.unreported_tokens = 0
         self.unreported_prompts = 0
 
+    def drop_old_state(self, now: float) -> None:
+        """Forget a report that no newer one follows.
+
+        What was opened since is added to a report, so that an old one would
+        make its engine look ever fuller.  A leave is never taken back.
+        """
+        old = now > self.state_at + _REPORT_SECONDS
+        if self.state is not None and old and not self.state.leaving:
+            self.state = None
+            self.unreported_tokens = 0
+            self.unreported_prompts = 0
+
     def suspect(self, now: float) -> None:
         """Pass it over for a while."""
         self.suspect_until = now + _SUSPECT_SECONDS
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -24,6 +24,7 @@
     take_room,
 )
 from .peerlink import PeerServer
+from .process import spawn
 
 __all__ = ('EngineKeeper', 'EngineReading', 'KeeperPlace', 'MovableEngine')
 
@@ -35,6 +36,8 @@
 _TELL_SECONDS = 0.2
 _BEAT_SECONDS = 0.5
 _ROOM_SECONDS = 0.25
+# Between two tries to learn the engine's name.  Each is paid for.
+_NAME_SECONDS = 1.0
 _MOST_TRIES = 3
 
 
@@ -142,9 +145,11 @@
         """Follow the engine until cancelled."""
         while True:
             try:
-                await self._follow()
+                reading = await self._engine.read()
             except BackendCutError as error:
                 self._lose_engine(error)
+            else:
+                self._take(reading)
             await asyncio.sleep(_READ_SECONDS)
 
     def handle(self, message: Message) -> None:
@@ -155,16 +160,32 @@
         elif isinstance(message, wire.RoomTold):
             self._take_room(message)
 
-    async def _follow(self) -> None:
-        reading = await self._engine.read()
-        if self.found is None:
-            self.found = wire.EngineFound(
-                name=await self._engine.identify(),
-                address=self._engine.address,
-                service=self._place.service,
-                failure_domain=self._place.failure_domain,
-            )
-        self._take(reading)
+    async def run_naming(self) -> None:
+        """Learn the engine's name, for announcements, until cancelled.
+
+        A full engine answers late or not at all, so this never holds up the
+        reading of its reports.
+        """
+        while True:
+            if self.found is None and self._reading is not None:
+                await self._learn_name()
+            await asyncio.sleep(_NAME_SECONDS)
+
+    async def _learn_name(self) -> None:
+        try:
+            name = await self._engine.identify()
+        except BackendCutError as error:
+            log_event('engine_unnamed', why=error)
+            return
+        if self._reading is None:
+            # It may be another engine by now.
+            return
+        self.found = wire.EngineFound(
+            name=name,
+            address=self._engine.address,
+            service=self._place.service,
+            failure_domain=self._place.failure_domain,
+        )
 
     def _take_room(self, message: wire.RoomTold) -> None:
         # An entry that has just started knows no engines yet; another one does.
@@ -204,7 +225,7 @@
                 runs=len(reading.runs),
             )
         if leaving and reading.runs and self._moving is None:
-            self._moving = asyncio.create_task(self._move_all())
+            self._moving = spawn(self._move_all(), 'moves')
 
     def _tell(self, reading: EngineReading, at_once: bool) -> None:
         now = self._clock.monotonic()
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -73,8 +73,10 @@
         }
 
     def tick(self) -> None:
-        """Give up links that are silent, or whose engine left long ago."""
+        """Give up what is silent, or whose engine left long ago."""
         now = self._clock.monotonic()
+        for backend in self._backends.backends:
+            backend.drop_old_state(now)
         for address, since in list(self._unlisted.items()):
             if now > since + _LINGER_SECONDS:
                 self._unlisted.pop(address)
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -59,14 +59,15 @@
 
     async def _follow_engine(self, stop: asyncio.Event) -> None:
         keeping = spawn(self._keeper.run(), 'keeper')
+        naming = spawn(self._keeper.run_naming(), 'engine name')
         announcing = spawn(self._announce(), 'announcements')
         try:
             await stop.wait()
             log_event('leaving', entries=self._server.peers)
             await self._finish()
         finally:
-            announcing.cancel()
-            keeping.cancel()
+            for task in (naming, announcing, keeping):
+                task.cancel()
 
     async def _announce(self) -> None:
         """Tell the engine to entries that may not know it."""
--- a/tests/test_backendset.py
+++ b/tests/test_backendset.py
@@ -87,6 +87,27 @@
             0, self.backends.take(make_record(boot=2), 102).open_calls
         )
 
+    def test_report_that_has_grown_old(self):
+        """The process beside an engine stands still; its engine serves on.
+
+        What was opened since is added to the old report for ever: the engine
+        would look ever fuller and get no more work.
+        """
+        found = self.backends.take(make_record(), 100)
+        found.take_state(EngineState(running=7, total_tokens=9), 100)
+        found.unreported_tokens = 5000
+        found.drop_old_state(102)
+        self.assertIsNotNone(found.state)
+        found.drop_old_state(104)
+        self.assertIsNone(found.state)
+        self.assertEqual(0, found.unreported_tokens)
+
+    def test_old_report_of_a_leave_still_counts(self):
+        found = self.backends.take(make_record(), 100)
+        found.take_state(EngineState(leaving=True), 100)
+        found.drop_old_state(200)
+        self.assertEqual([], self.names())
+
     def test_announced_engines_while_nothing_can_register(self):
         """Engines are replaced during an outage of the key-value service.
 
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from primrosewood import gen_wire as wire
 from primrosewood.backendset import EngineState
@@ -77,6 +78,9 @@
     """What it tells, and what it moves."""
 
     async def asyncSetUp(self):
+        patched = mock.patch('primrosewood.enginekeeper._NAME_SECONDS', 0.02)
+        patched.start()
+        self.addCleanup(patched.stop)
         self.engine = FakeEngine(
             EngineRun('big', 4000, 50), EngineRun('small', 2000, 9)
         )
@@ -86,8 +90,8 @@
         )
         self.keeper.server = self.server
         self.server.keeper = self.keeper
-        running = asyncio.create_task(self.keeper.run())
-        self.addCleanup(running.cancel)
+        for work in (self.keeper.run(), self.keeper.run_naming()):
+            self.addCleanup(asyncio.create_task(work).cancel)
 
     async def wait_for(self, condition):
         async with asyncio.timeout(5):
@@ -210,6 +214,45 @@
         )
         self.assertFalse(self.keeper.needed)
 
+    async def test_full_engine_that_does_not_say_its_name(self):
+        """An engine starts again and fills up at once.
+
+        Its health answer waits for a slot like any request. Its reports come
+        all the same: it must not be taken for gone, which would turn all new
+        work away from it.
+        """
+        await self.lose_engine()
+
+        async def wait_for_a_slot():
+            await asyncio.sleep(10)
+
+        self.engine.identify = wait_for_a_slot
+        self.engine.gone = False
+        for _ in range(3):
+            self.server.told.clear()
+            await self.wait_for(lambda: self.server.told)
+        self.assertFalse(self.server.told[-1].leaving)
+
+    async def lose_engine(self):
+        await self.wait_for(lambda: self.keeper.found is not None)
+        self.engine.runs.clear()
+        self.engine.gone = True
+        await self.wait_for(lambda: self.keeper.found is None)
+
+    async def test_name_that_comes_later(self):
+        await self.lose_engine()
+        names = [BackendCutError('busy'), BackendCutError('busy')]
+
+        async def identify():
+            if names:
+                raise names.pop()
+            return 'i-a'
+
+        self.engine.identify = identify
+        self.engine.gone = False
+        await self.wait_for(lambda: self.keeper.found is not None)
+        self.assertEqual('i-a', self.keeper.found.name)
+
     async def test_another_entrys_finding_is_passed_on(self):
         found = wire.EngineFound('i-b', 'b:1', 's', 'd1')
         self.keeper.handle(found)
