Begin a late listing in one place in the watcher's tests

Cause: two tests of listings that are older than what the watch has brought set up the same overlap line by line.

Ruled out: sharing it with the third test of listings too, which checks a change that arrives during a listing and has no value before it.

Both tests fail with the watcher's guard taken out, on a scratch copy, and pass with it. No product code is changed.

--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -63,6 +63,19 @@
             while self.held != wanted:
                 await asyncio.sleep(0.01)
 
+    async def begin_listing(self, store, stored):
+        """Return a listing that has read the store and not yet answered."""
+        await store.put('m/1', stored)
+        watcher = Watcher(store, 'm/', WatchPace(1000), self.take)
+        store.gate.set()
+        following = asyncio.create_task(watcher.run())
+        self.addCleanup(following.cancel)
+        await self.wait_for({'m/1': stored})
+        store.gate.clear()
+        listing = asyncio.create_task(watcher.list_all())
+        await asyncio.sleep(0.01)
+        return listing
+
     async def test_listing_from_before_a_deletion_brings_nothing_back(self):
         """An engine leaves while an entry lists all records.
 
@@ -70,20 +83,12 @@
         it, comes: callers would be sent to an engine that has gone.
         """
         store = _SlowListing()
-        await store.put('m/1', b'1')
-        watcher = Watcher(store, 'm/', WatchPace(1000), self.take)
-        store.gate.set()
-        following = asyncio.create_task(watcher.run())
-        await self.wait_for({'m/1': b'1'})
-        store.gate.clear()
-        listing = asyncio.create_task(watcher.list_all())
-        await asyncio.sleep(0.01)
+        listing = await self.begin_listing(store, b'1')
         store.delete('m/1')
         await self.wait_for({})
         store.gate.set()
         await listing
         self.assertEqual({}, self.held)
-        following.cancel()
 
     async def test_listing_from_before_a_change_does_not_win(self):
         """Operators change a route while an entry lists all keys.
@@ -92,20 +97,12 @@
         entry would go back to a version that is not in force any more.
         """
         store = _SlowListing()
-        await store.put('m/1', b'old')
-        watcher = Watcher(store, 'm/', WatchPace(1000), self.take)
-        store.gate.set()
-        following = asyncio.create_task(watcher.run())
-        await self.wait_for({'m/1': b'old'})
-        store.gate.clear()
-        listing = asyncio.create_task(watcher.list_all())
-        await asyncio.sleep(0.01)
+        listing = await self.begin_listing(store, b'old')
         await store.put('m/1', b'new')
         await self.wait_for({'m/1': b'new'})
         store.gate.set()
         await listing
         self.assertEqual({'m/1': b'new'}, self.held)
-        following.cancel()
 
     async def test_silent_watch_is_made_good_by_polls(self):
         """A watch that hears nothing, without a reset or an error.
