Keep one copy of what stood twice in entries, links and settings

Ruled out: one budget for both dispatch and relay (they count different things).

Change: TableHolder.traits, BackendSet.take_out and let_in, enginepace, link.read_greeting and CONNECT_ERRORS, config.require_section, one CallProgress.others, EventSplitter in both clients. A link of another deployment is now refused with the same line on both sides. Two tests call the new methods of BackendSet in place of the old one; what they assert is unchanged.

--- a/primrosewood/backends.py
+++ b/primrosewood/backends.py
@@ -13,7 +13,9 @@
     ErrorKind,
     NotRunError,
     PrimrosewoodError,
+    WireError,
 )
+from .events import EventSplitter
 from .httpclient import never_repeat
 
 __all__ = (
@@ -33,9 +35,7 @@
 _LOAD_SECONDS = 1.0
 _ID = b'id: '
 _DATA = b'data: '
-_DONE = b'data: [DONE]'
-_EVENT_END = b'\n\n'
-_MOST_EVENT_BYTES = 1_048_576
+_DONE = b'data: [DONE]\n\n'
 _NOT_TAKEN = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
@@ -307,19 +307,23 @@
 async def _read_tokens(
     response: aiohttp.ClientResponse,
 ) -> AsyncIterator[EngineToken]:
-    rest = b''
+    splitter = EventSplitter()
     async for chunk in response.content.iter_any():
-        *events, rest = (rest + chunk).split(_EVENT_END)
-        for event in events:
+        for event in _split(splitter, chunk):
             if event.endswith(_DONE):
                 return
             yield _parse_event(event)
-        if len(rest) > _MOST_EVENT_BYTES:
-            raise BackendCutError('an event is too long')
     # The engine ends every stream with [DONE]; an end without it is a cut.
     raise BackendCutError('the stream ended early')
 
 
+def _split(splitter: EventSplitter, chunk: bytes) -> list[bytes]:
+    try:
+        return splitter.feed(chunk)
+    except WireError as error:
+        raise BackendCutError(str(error)) from error
+
+
 def _parse_event(event: bytes) -> EngineToken:
     head, _, data = event.partition(_DATA)
     try:
--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -122,10 +122,8 @@
 
     def take_state(self, state: EngineState, now: float) -> None:
         """Note the engine's own report."""
-        self.state = state
         self.state_at = now
-        self.unreported_tokens = 0
-        self.unreported_prompts = 0
+        self._replace_state(state)
 
     def drop_old_state(self, now: float) -> None:
         """Forget a report that no newer one follows.
@@ -135,14 +133,18 @@
         """
         old = now > self.state_at + _REPORT_SECONDS
         if self.state is not None and old and not self.state.leaving:
-            self.state = None
-            self.unreported_tokens = 0
-            self.unreported_prompts = 0
+            self._replace_state(None)
 
     def suspect(self, now: float) -> None:
         """Pass it over for a while."""
         self.suspect_until = now + _SUSPECT_SECONDS
 
+    def _replace_state(self, state: EngineState | None) -> None:
+        # What was opened before the report was made is part of it.
+        self.state = state
+        self.unreported_tokens = 0
+        self.unreported_prompts = 0
+
 
 @dataclass(slots=True)
 class _Disturbance:
@@ -243,11 +245,19 @@
             self._drop(name)
         return gone
 
-    def take_evacuated(self, domains: frozenset[str], now: float) -> None:
-        """Note which failure domains are out."""
-        for domain in self.evacuated - domains:
+    def take_out(self, domain: str) -> bool:
+        """Note that a failure domain is out; tell whether it was in."""
+        was_in = domain not in self.evacuated
+        self.evacuated |= {domain}
+        return was_in
+
+    def let_in(self, domain: str, now: float) -> bool:
+        """Note that a failure domain is back; tell whether it was out."""
+        was_out = domain in self.evacuated
+        if was_out:
             self._returned[domain] = now
-        self.evacuated = domains
+            self.evacuated -= {domain}
+        return was_out
 
     def find(self, name: str) -> Backend | None:
         """Return a back end by its name."""
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -7,6 +7,7 @@
 from .backendset import Backend
 from .clock import RandomSource
 from .directcalls import Leg
+from .enginepace import PROMPT_TOKENS_A_SECOND
 
 __all__ = (
     'Balancer',
@@ -26,9 +27,6 @@
 # Scores that differ by less are taken as equal and drawn by lot: entries that
 # read the same reports must not all pick the same back end.
 _EQUAL_SECONDS = 0.02
-# Tokens of prompts that an engine reads a second.  Prompts are read one after
-# the other, so what stands before a call is time to its first token.
-_READING_RATE = 14_000
 # A generation beside another one slows each of its steps.
 _NEIGHBOUR_SECONDS = 0.02
 # Memory is what engines run out of first: beyond this share a generation may
@@ -166,7 +164,7 @@
         running = max(running, state.running)
     memory = _memory_share(backend, placing)
     return (
-        unread / _READING_RATE
+        unread / PROMPT_TOKENS_A_SECOND
         + running * _NEIGHBOUR_SECONDS
         + memory * _MEMORY_SECONDS
         + max(0, memory - _FULL_SHARE) * _PREEMPTION_SECONDS
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -22,7 +22,7 @@
 from .lengths import LengthBook
 from .logs import log_decision
 from .metrics import Metrics
-from .routes import EngineTraits, ServiceTraits, TableHolder
+from .routes import EngineTraits, TableHolder
 from .shares import EntryCount, RepeatBudget, RepeatRule
 
 __all__ = ('CallPlacement', 'CallProgress', 'PlacementTools', 'RelayRules')
@@ -81,6 +81,8 @@
         Back ends that did not take it, or failed.
     begun
         Whether part of the answer was handed on.
+    others
+        Back ends that could have been chosen in place of the last one.
     """
 
     call: DirectCall
@@ -89,6 +91,7 @@
     refused: set[str] = field(default_factory=set)
     order: StreamOrder = field(default_factory=StreamOrder)
     begun: bool = False
+    others: int = 0
 
 
 class CallPlacement:
@@ -122,6 +125,7 @@
             raise self.end(progress, ErrorKind.no_endpoint)
         placing = self._placing(call, now)
         chosen = self._tools.balancer.choose(candidates, placing)
+        progress.others = len(candidates) - 1
         log_decision(
             'sent',
             request=call.name,
@@ -137,11 +141,6 @@
         )
         return chosen
 
-    def has_other(self, progress: CallProgress, backend: Backend) -> bool:
-        """Tell whether a call could go to another back end as well."""
-        candidates = self._candidates(progress, self._now())
-        return any(other is not backend for other in candidates)
-
     def reconsider(
         self, progress: CallProgress, backend: Backend, error: Exception
     ) -> None:
@@ -253,8 +252,7 @@
 
     def engine_traits(self, service: str) -> EngineTraits | None:
         """Return what a service's engines can do, None for plain ones."""
-        traits = self._traits(service)
-        return traits.engine if traits else None
+        return self._tools.tables.engine_traits(service)
 
     def _candidates(self, progress: CallProgress, now: float) -> list[Backend]:
         return [
@@ -276,7 +274,7 @@
 
     def _bears(self, backend: Backend, now: float) -> bool:
         """Tell whether a back end is warm, or its cold limit has room."""
-        traits = self._traits(backend.record.service)
+        traits = self._tools.tables.traits(backend.record.service)
         if traits is None or not traits.cold_rate:
             return True
         if not self._tools.backends.is_cold(backend, now):
@@ -291,10 +289,6 @@
             return None
         return BookedTokens(size.prompt_tokens, self.guess_length(call))
 
-    def _traits(self, service: str) -> ServiceTraits | None:
-        table = self._tools.tables.table
-        return table.services.get(service) if table else None
-
     def _budget(self, service: str) -> RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/primrosewood/config.py
+++ b/primrosewood/config.py
@@ -20,6 +20,7 @@
     'load_config',
     'load_node',
     'make_contexts',
+    'require_section',
 )
 
 
@@ -92,9 +93,22 @@
     document = _read_json(Path(path))
     check_document(document, 'node')
     settings = msgspec.convert(document, NodeSettings)
+    require_section(settings, role)
+    return settings
+
+
+def require_section(
+    settings: NodeSettings | ProcessSettings, role: str
+) -> None:
+    """Check that settings have the section of a program.
+
+    Raises
+    ------
+    SettingsInvalidError
+        They do not.
+    """
     if not getattr(settings, role):
         raise SettingsInvalidError([f'/{role}: this section is missing'])
-    return settings
 
 
 def make_contexts(
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -104,16 +104,15 @@
 
     def take_found(self, found: wire.EngineFound) -> bool:
         """Note an engine that announces itself; tell whether it is new."""
-        table = self._tables.table
-        traits = table and table.services.get(found.service)
-        if not traits or not traits.engine:
+        engine = self._tables.engine_traits(found.service)
+        if engine is None:
             return False
         record = BackendRecord(
             name=found.name,
             service=found.service,
             address=found.address,
             failure_domain=found.failure_domain,
-            slots=traits.engine.slots,
+            slots=engine.slots,
             cold_seconds=_ANNOUNCED_COLD_SECONDS,
         )
         is_new = self._backends.announce(record, self._clock.monotonic())
@@ -143,9 +142,7 @@
         )
 
     def _is_engine(self, backend: Backend) -> bool:
-        table = self._tables.table
-        traits = table and table.services.get(backend.record.service)
-        return bool(traits and traits.engine)
+        return self._tables.engine_traits(backend.record.service) is not None
 
     def _handle(self, address: str, message: Message, link: Link) -> None:
         match message:
--- a/primrosewood/link.py
+++ b/primrosewood/link.py
@@ -1,6 +1,7 @@
 """A connection between two processes: CBOR frames over a websocket."""
 
 import asyncio
+import hmac
 from collections.abc import Callable
 from typing import Protocol
 
@@ -12,7 +13,15 @@
 from .errors import WireError
 from .logs import log_event
 
-__all__ = ('Link', 'Source')
+__all__ = ('CONNECT_ERRORS', 'Link', 'Source', 'read_greeting')
+
+# What ends an attempt to connect, or an established connection.
+CONNECT_ERRORS = (
+    OSError,
+    TimeoutError,
+    WireError,
+    websockets.WebSocketException,
+)
 
 _BULKY = (wire.Offer, wire.Reply, wire.SettingsPush)
 _MOST_IN_FRAME = 128
@@ -111,6 +120,36 @@
             await self._socket.send(serialise_frame(group))
 
 
+async def read_greeting(
+    socket: Connection, key: str, seconds: float
+) -> wire.Hello:
+    """Return the greeting of a peer that has the right key.
+
+    Parameters
+    ----------
+    key
+        Shared by all processes of a deployment.
+    seconds
+        How long the peer may take.
+
+    Raises
+    ------
+    WireError
+        It says something else first, or has another key.
+    TimeoutError
+        It says nothing.
+    """
+    async with asyncio.timeout(seconds):
+        frame = await socket.recv()
+    messages = parse_frame(_require_bytes(frame))
+    if len(messages) != 1 or not isinstance(messages[0], wire.Hello):
+        raise WireError('no greeting')
+    hello = messages[0]
+    if not hmac.compare_digest(hello.key.encode(), key.encode()):
+        raise WireError('another deployment')
+    return hello
+
+
 def _group(messages: list[Message]) -> list[list[Message]]:
     groups: list[list[Message]] = []
     room = 0
--- a/primrosewood/linkserver.py
+++ b/primrosewood/linkserver.py
@@ -1,21 +1,18 @@
 """The listening side of links, the same at endpoints and entries."""
 
 import asyncio
-import hmac
 import ssl
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
-import websockets
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from . import gen_wire as wire
-from .codec import Message, parse_frame, serialise_frame
-from .errors import WireError
+from .codec import Message, serialise_frame
 from .gen_process import Limits, Listen
 from .gossip import handle_settings_message, heartbeat
-from .link import Link
+from .link import CONNECT_ERRORS, Link, read_greeting
 from .logs import log_event
 from .settings import SettingsStore
 
@@ -56,7 +53,7 @@
     ) -> None:
         """Start without links."""
         self._store = store
-        self._process_key = process_key.encode()
+        self._process_key = process_key
         self._side = side
         self._links: set[Link] = set()
         self._last_load: wire.Load | None = None
@@ -102,12 +99,14 @@
 
     async def _serve(self, socket: ServerConnection) -> None:
         try:
-            hello = await self._greet(socket)
-        except (WireError, TimeoutError, websockets.ConnectionClosed):
-            hello = None
-        if hello is None:
+            hello = await read_greeting(
+                socket, self._process_key, _HANDSHAKE_SECONDS
+            )
+        except CONNECT_ERRORS as error:
+            log_event('link_refused', 'WARNING', why=type(error).__name__)
             await socket.close(_UNAUTHENTICATED)
             return
+        await socket.send(serialise_frame([self._side.welcome()]))
         await self._run_link(socket, hello.process)
 
     async def _run_link(self, socket: ServerConnection, peer: str) -> None:
@@ -126,25 +125,6 @@
         if not handle_settings_message(message, link, self._store):
             self._side.handle(message, link)
 
-    async def _greet(self, socket: ServerConnection) -> wire.Hello | None:
-        async with asyncio.timeout(_HANDSHAKE_SECONDS):
-            frame = await socket.recv()
-        if isinstance(frame, str):
-            return None
-        messages = parse_frame(frame)
-        if len(messages) == 1 and isinstance(messages[0], wire.Hello):
-            return await self._admit_peer(messages[0], socket)
-        return None
-
-    async def _admit_peer(
-        self, hello: wire.Hello, socket: ServerConnection
-    ) -> wire.Hello | None:
-        if not hmac.compare_digest(hello.key.encode(), self._process_key):
-            log_event('link_refused', 'WARNING', peer=hello.process)
-            return None
-        await socket.send(serialise_frame([self._side.welcome()]))
-        return hello
-
 
 def _differs(load: wire.Load | None, told: wire.Load | None) -> bool:
     """Tell whether a load is worth telling beside those on data frames."""
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -7,20 +7,17 @@
 """
 
 import asyncio
-import hmac
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
-import websockets
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from . import gen_wire as wire
 from .clock import Clock
-from .codec import Message, parse_frame, serialise_frame
-from .errors import WireError
-from .link import Link
+from .codec import Message, serialise_frame
+from .link import CONNECT_ERRORS, Link, read_greeting
 from .logs import log_event
 from .process import spawn
 
@@ -103,7 +100,7 @@
         while True:
             try:
                 await self._connect_once()
-            except _CONNECT_ERRORS as error:
+            except CONNECT_ERRORS as error:
                 log_event(
                     'link_failed',
                     'DEBUG',
@@ -156,7 +153,7 @@
 
     def __init__(self, key: str, handle: Callable[[Message], None]) -> None:
         """Start without links."""
-        self._key = key.encode()
+        self._key = key
         self._handle = handle
         self._links: dict[Link, str] = {}
 
@@ -185,8 +182,8 @@
 
     async def _serve(self, socket: ServerConnection) -> None:
         try:
-            hello = await self._greet(socket)
-        except (WireError, TimeoutError, websockets.ConnectionClosed) as error:
+            hello = await read_greeting(socket, self._key, _HANDSHAKE_SECONDS)
+        except CONNECT_ERRORS as error:
             log_event('link_refused', 'WARNING', why=type(error).__name__)
             await socket.close(_UNAUTHENTICATED)
             return
@@ -198,23 +195,3 @@
         finally:
             self._links.pop(link)
             log_event('link_closed', peer=hello.process, peers=self.peers)
-
-    async def _greet(self, socket: ServerConnection) -> wire.Hello:
-        async with asyncio.timeout(_HANDSHAKE_SECONDS):
-            frame = await socket.recv()
-        if isinstance(frame, str):
-            raise WireError('a text frame')
-        messages = parse_frame(frame)
-        if len(messages) != 1 or not isinstance(messages[0], wire.Hello):
-            raise WireError('no greeting')
-        if not hmac.compare_digest(messages[0].key.encode(), self._key):
-            raise WireError('another deployment')
-        return messages[0]
-
-
-_CONNECT_ERRORS = (
-    OSError,
-    TimeoutError,
-    WireError,
-    websockets.WebSocketException,
-)
--- a/primrosewood/platform/beliefs.py
+++ b/primrosewood/platform/beliefs.py
@@ -34,7 +34,6 @@
         self._backends = backends
         self._clock = clock
         self._changed = changed
-        self._evacuated: set[str] = set()
         self._answered: bool | None = None
 
     def take_pair(self, key: str, pair: Pair | None) -> None:
@@ -83,18 +82,14 @@
 
     def _take_evacuation(self, key: str, pair: Pair | None) -> None:
         domain = key.removeprefix(documents.EVACUATED_PREFIX)
-        before = frozenset(self._evacuated)
         if pair is None:
-            self._evacuated.discard(domain)
-        else:
-            self._evacuated.add(domain)
-        evacuated = frozenset(self._evacuated)
-        if evacuated != before:
-            self._backends.take_evacuated(evacuated, self._clock.monotonic())
+            if self._backends.let_in(domain, self._clock.monotonic()):
+                log_decision('failure_domain_back', failure_domain=domain)
+        elif self._backends.take_out(domain):
             log_decision(
-                'failure_domain_back' if pair is None else 'failure_domain_out',
+                'failure_domain_out',
                 failure_domain=domain,
-                revision=pair and pair.revision,
+                revision=pair.revision,
             )
 
     def _take_backend(self, name: str, pair: Pair | None) -> None:
--- a/primrosewood/process.py
+++ b/primrosewood/process.py
@@ -10,7 +10,7 @@
 import msgspec
 import xxhash
 
-from .config import ProcessConfig, load_config
+from .config import ProcessConfig, load_config, require_section
 from .errors import SettingsInvalidError
 from .gen_node import NodeSettings
 from .logs import configure_logs, log_event
@@ -80,8 +80,7 @@
 
 def _load(path: str, role: str) -> ProcessConfig:
     config = load_config(path)
-    if not getattr(config.settings, role):
-        raise SettingsInvalidError([f'/{role}: this section is missing'])
+    require_section(config.settings, role)
     return config
 
 
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -110,25 +110,11 @@
         replaced by another one, or by an error.
         """
         try:
-            async with asyncio.timeout(self._patience(progress, backend)):
+            async with asyncio.timeout(_patience(progress)):
                 return await self._fetch_patiently(progress, backend)
         except TimeoutError as error:
             raise BackendCutError('no answer in time') from error
 
-    def _patience(
-        self, progress: CallProgress, backend: Backend
-    ) -> float | None:
-        """Return how long a try may take, None until the deadline."""
-        route = progress.call.route
-        last = progress.ran + 1 >= route.max_endpoints
-        if last or not route.repeatable:
-            return None
-        # Giving up an answer that may still come pays only where another back
-        # end can be asked.
-        if not self._placement.has_other(progress, backend):
-            return None
-        return route.objective * _FIRST_PATIENCE
-
     async def _fetch_patiently(
         self, progress: CallProgress, backend: Backend
     ) -> tuple[AnswerHead, bytes]:
@@ -266,6 +252,17 @@
         )
 
 
+def _patience(progress: CallProgress) -> float | None:
+    """Return how long a try may take, None until the deadline."""
+    route = progress.call.route
+    last = progress.ran + 1 >= route.max_endpoints
+    # Giving up an answer that may still come pays only where another back end
+    # can be asked.
+    if last or not route.repeatable or not progress.others:
+        return None
+    return route.objective * _FIRST_PATIENCE
+
+
 async def _read_whole(reply: BackendReply) -> tuple[AnswerHead, bytes]:
     body = b''.join([part async for part in reply.parts()])
     return AnswerHead(reply.status, reply.headers, len(body)), body
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -169,6 +169,15 @@
         """Version of the newest table, 0 before the first."""
         return self._table.version if self._table else 0
 
+    def traits(self, service: str) -> ServiceTraits | None:
+        """Return what is common to a service's back ends, None if unknown."""
+        return self._table.services.get(service) if self._table else None
+
+    def engine_traits(self, service: str) -> EngineTraits | None:
+        """Return what a service's engines can do, None for plain ones."""
+        traits = self.traits(service)
+        return traits.engine if traits else None
+
     def take(self, table: RouteTable) -> bool:
         """Keep a table if it is newer; tell whether it was."""
         if table.version <= self.version:
--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -1,14 +1,11 @@
 """What an entry still takes on during a planned stop."""
 
 from .directcalls import DirectCall
+from .enginepace import PROMPT_TOKENS_A_SECOND, TOKEN_SECONDS
 from .identity import digest_key
 
 __all__ = ('StopWindow',)
 
-# Seconds an engine takes for a token with some neighbours, and tokens of a
-# prompt that it reads a second; both as the engines' sheet has them.
-_TOKEN_SECONDS = 0.009
-_READING_RATE = 14_000
 # Lengths are guesses; a stream whose guess fills more than this share of the
 # time that is left would rather often be cut.
 _FILLED = 0.7
@@ -63,8 +60,8 @@
         """
         if self._ends_at is None or call.size is None:
             return True
-        seconds = answer_tokens * _TOKEN_SECONDS
-        seconds += call.size.prompt_tokens / _READING_RATE
+        seconds = answer_tokens * TOKEN_SECONDS
+        seconds += call.size.prompt_tokens / PROMPT_TOKENS_A_SECOND
         if seconds <= (self._ends_at - now) * _FILLED:
             return True
         # A caller that comes back does so under another name.
--- a/tests/test_backendset.py
+++ b/tests/test_backendset.py
@@ -59,7 +59,7 @@
         )
         self.backends.take(make_record('e3', domain='d2'), 100)
         self.backends.take(make_record('e4'), 100)
-        self.backends.take_evacuated(frozenset(['d2']), 100)
+        self.backends.take_out('d2')
         self.assertEqual(['e4'], self.names())
 
     def test_domain_that_returns_may_be_cold(self):
@@ -69,9 +69,9 @@
         meantime makes a cold engine fall over.
         """
         found = self.backends.take(make_record(), 100)
-        self.backends.take_evacuated(frozenset(['d1']), 100)
+        self.backends.take_out('d1')
         self.assertFalse(self.backends.is_cold(found, 101))
-        self.backends.take_evacuated(frozenset(), 110)
+        self.backends.let_in('d1', 110)
         self.assertTrue(self.backends.is_cold(found, 111))
         self.assertFalse(self.backends.is_cold(found, 114))
 
