Let entries hear of changes from each other, and cut off heads that never end

Ruled out: links between entries (a second mesh, and nothing to find it by); taking the peers' revision as read from the service (a peer may have missed a change; the watch goes on from where the service was last heard); answers from peers that cannot read either (no news, and old tables would travel).

Change: peercatchup asks over one link to the process beside an engine, another one for each failed reading; that process passes on question and answers. The watcher keeps pairs, tells what changed since a revision, and takes what it is told.

Cause, second part: the HTTP library waits for ever for the rest of a head. Change: a connection whose head is not whole after the operators' limit gets 408, which is true, and ends. Without it the test gets no answer.

--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -42,6 +42,8 @@
         wire.RoomTold: 22,
         wire.RunMoved: 23,
         wire.EngineFound: 24,
+        wire.PairsAsk: 25,
+        wire.PairsTold: 26,
     }
 )
 _TYPES = MappingProxyType({code: kind for kind, code in _CODES.items()})
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -14,6 +14,7 @@
 from .clock import Clock
 from .codec import Message
 from .errors import BackendCutError, ErrorKind, NotRunError
+from .link import Link
 from .logs import log_decision, log_event
 from .metrics import Metrics
 from .moves import (
@@ -131,6 +132,8 @@
         self._room: asyncio.Future[list[MoveTarget]] | None = None
         self._done: set[str] = set()
         self._moving: asyncio.Task | None = None
+        self._answers = asyncio.Event()
+        self._named = asyncio.Event()
         self.server: PeerServer | None = None
         self.found: wire.EngineFound | None = None
 
@@ -141,6 +144,11 @@
             return True
         return self._reading is not None and bool(self._reading.runs)
 
+    @property
+    def last_report(self) -> wire.EngineReport | None:
+        """What entries were told last, None before the first report."""
+        return self._told
+
     async def run(self) -> None:
         """Follow the engine until cancelled."""
         while True:
@@ -152,13 +160,17 @@
                 self._take(reading)
             await asyncio.sleep(_READ_SECONDS)
 
-    def handle(self, message: Message) -> None:
+    def handle(self, message: Message, link: Link) -> None:
         """Act on an entry's message."""
         if isinstance(message, wire.EngineFound):
             # One entry heard of an engine; the others hear it from here.
             self.server.broadcast(message)
         elif isinstance(message, wire.RoomTold):
             self._take_room(message)
+        elif isinstance(message, wire.PairsAsk):
+            self.server.broadcast(message, but=link)
+        elif isinstance(message, wire.PairsTold):
+            self.server.send_to(message.asker, message)
 
     async def run_naming(self) -> None:
         """Learn the engine's name, for announcements, until cancelled.
@@ -167,9 +179,22 @@
         reading of its reports.
         """
         while True:
-            if self.found is None and self._reading is not None:
-                await self._learn_name()
-            await asyncio.sleep(_NAME_SECONDS)
+            await self._answers.wait()
+            await self._learn_name()
+            if self.found is None:
+                await asyncio.sleep(_NAME_SECONDS)
+            else:
+                self._answers.clear()
+                self._named.set()
+
+    async def wait_named(self, seconds: float) -> None:
+        """Wait until the engine's name is learned, or for some time."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._named.wait()
+        except TimeoutError:
+            return
+        self._named.clear()
 
     async def _learn_name(self) -> None:
         try:
@@ -207,6 +232,8 @@
             self._tell_lost(self._reading.runs)
         self._reading = None
         self.found = None
+        self._answers.clear()
+        self._named.clear()
         # Entries would take silence for the loss of this process.
         self._tell(_GONE, at_once=False)
 
@@ -214,6 +241,7 @@
         if self._reading is None:
             log_event('engine_found', address=self._engine.address)
             self._done.clear()
+            self._answers.set()
         was_leaving = self._reading and self._reading.state.leaving
         self._reading = reading
         leaving = reading.state.leaving
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -1,5 +1,6 @@
 """What an entry hears from the processes beside engines."""
 
+from collections.abc import Callable
 from functools import partial
 
 from . import gen_wire as wire
@@ -33,6 +34,8 @@
     ----------
     link_port
         Where these processes listen, each on its engine's VM.
+    handle_other
+        Called with messages that are not about engines, and their link.
     """
 
     def __init__(
@@ -44,8 +47,10 @@
         identity: LinkIdentity,
         clock: Clock,
         link_port: int,
+        handle_other: Callable[[Message, Link], None],
     ) -> None:
         """Start without links."""
+        self._handle_other = handle_other
         self._backends = backends
         self._tables = tables
         self._notices = notices
@@ -126,7 +131,15 @@
             self.update()
         return is_new
 
-    def take_announcement(self, message: Message) -> None:
+    def send_to_one(self, message: Message) -> None:
+        """Send a message on one of the links, another one each time."""
+        for address, link in list(self._links.items()):
+            if link.send(message):
+                # To the end, so that the next message takes another one.
+                self._links[address] = self._links.pop(address)
+                return
+
+    def take_announcement(self, message: Message, _link: Link) -> None:
         """Act on what came from the process beside an engine directly."""
         if isinstance(message, wire.EngineFound) and self.take_found(message):
             for link in self._links.values():
@@ -161,6 +174,8 @@
                         message.target,
                     )
                 )
+            case _:
+                self._handle_other(message, link)
 
     def _take_report(self, address: str, report: wire.EngineReport) -> None:
         self._told_entries[address] = report.entries
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -235,6 +235,36 @@
     content_type: str | UnsetType = ''
 
 
+class PairsAsk(Struct, array_like=True):
+    """
+    An entry that the key-value service does not answer asks the others for what they read there.
+    """
+
+    asker: Annotated[str, Meta(description='Name of the process that asks.')]
+    """
+    Name of the process that asks.
+    """
+    since: Annotated[int, Meta(description='Last revision that it knows.', ge=0)]
+    """
+    Last revision that it knows.
+    """
+
+
+class PairsTold(Struct, array_like=True):
+    """
+    Answers PairsAsk.
+    """
+
+    asker: str
+    newest: Annotated[
+        int, Meta(description='Last revision that the answering process knows.', ge=0)
+    ]
+    """
+    Last revision that the answering process knows.
+    """
+    pairs: list[StoredPair]
+
+
 class Queued(Struct, array_like=True):
     attempt: str
     wait_ms: int
@@ -328,6 +358,20 @@
     """
 
 
+class StoredPair(Struct, array_like=True):
+    """
+    A key as it was written, or its deletion.
+    """
+
+    key: str
+    revision: Annotated[int, Meta(ge=0)]
+    deleted: bool
+    stored: Annotated[bytes, Meta(description='Empty when deleted.')]
+    """
+    Empty when deleted.
+    """
+
+
 class Tokens(Struct, array_like=True):
     attempt: str
     offset: Annotated[
--- a/primrosewood/httpserver.py
+++ b/primrosewood/httpserver.py
@@ -1,18 +1,30 @@
 """Small HTTP servers of a process: callers, readiness, metrics."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
 from aiohttp import web
 
+from .logs import log_event
 from .metrics import Metrics
 
 __all__ = ('HttpLimits', 'listen', 'listen_metrics', 'split_address')
 
+# For servers without operators' limits: readiness and metrics.
+_HEAD_SECONDS = 10.0
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 _CUT_SECONDS = 0.3
+# Nothing of the request was read, so that the promise of this status holds.
+_HEAD_TIMEOUT = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Content-Length: 0\r\n'
+    b'Connection: close\r\n'
+    b'\r\n'
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,10 +39,14 @@
         request on its way.
     head_bytes
         Longest line of a request's head.
+    head_seconds
+        Returns how long a head may take from its first byte to its last;
+        read for each head, as operators may change it.
     """
 
     idle_seconds: float = 300
     head_bytes: int = 65536
+    head_seconds: Callable[[], float] = lambda: _HEAD_SECONDS
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -43,8 +59,9 @@
     handler: Handler, address: str, limits: HttpLimits
 ) -> web.ServerRunner:
     """Serve a handler; it is cancelled when its caller leaves."""
-    server = web.Server(
+    server = _Server(
         handler,
+        limits.head_seconds,
         handler_cancellation=True,
         access_log=None,
         keepalive_timeout=limits.idle_seconds,
@@ -58,6 +75,69 @@
     return runner
 
 
+class _Server(web.Server):
+    """Gives each connection a handler that times heads."""
+
+    def __init__(
+        self, handler: Handler, head_seconds: Callable[[], float], **options
+    ) -> None:
+        super().__init__(handler, **options)
+        self._head_seconds = head_seconds
+
+    def __call__(self) -> web.RequestHandler:
+        return _TimedHandler(
+            self, self._head_seconds, loop=self._loop, **self._kwargs
+        )
+
+
+class _TimedHandler(web.RequestHandler):
+    """Ends a connection whose request head does not come whole in time.
+
+    The HTTP library waits for ever for the rest of a head.  A stranger that
+    opens connections and sends a few bytes on each would use up the process's
+    descriptors, and callers would find no free one.
+    """
+
+    __slots__ = ('_head_seconds', '_timer')
+
+    def __init__(
+        self,
+        server: web.Server,
+        head_seconds: Callable[[], float],
+        **options,
+    ) -> None:
+        super().__init__(server, **options)
+        self._head_seconds = head_seconds
+        self._timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Read on, and time what is still a part of a head."""
+        super().data_received(data)
+        # Bytes came and the handler waits for a request all the same.
+        incomplete = self._waiter is not None and not self._waiter.done()
+        if not incomplete:
+            self._stop_timer()
+        elif self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(self._head_seconds(), self._give_up)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the timer with the connection."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _give_up(self) -> None:
+        log_event('head_timeout', 'WARNING')
+        if self.transport is not None:
+            self.transport.write(_HEAD_TIMEOUT)
+        self.force_close()
+
+
 async def listen_metrics(
     metrics: Metrics, host: str, port: int
 ) -> web.ServerRunner:
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -2,8 +2,9 @@
 
 The process beside an engine listens; every entry connects to it.  It tells
 the engine's own report, which entries could otherwise read only half a second
-late, and which generations it moved where.  Entries listen too, for the
-process beside an engine that no entry knows yet.
+late, and which generations it moved where, and passes on what entries ask each
+other.  Entries listen too, for the process beside an engine that no entry
+knows yet.
 """
 
 import asyncio
@@ -24,7 +25,8 @@
 __all__ = ('PeerLink', 'PeerServer', 'LinkIdentity')
 
 _HANDSHAKE_SECONDS = 1.0
-_LONGEST_FRAME = 262_144
+# Frames may carry the operators' whole table, whose value is at most 1 MB.
+_LONGEST_FRAME = 2_097_152
 # Reports come at least twice a second; a link without any for this long leads
 # to a process that is stopped, or has lost its network without a reset.
 _SILENCE_SECONDS = 2.0
@@ -87,10 +89,12 @@
             self._link = None
             spawn(link.abort(), 'abort link')
 
-    def send(self, message: Message) -> None:
-        """Send a message, if there is a connection."""
-        if self._link is not None:
-            self._link.send(message)
+    def send(self, message: Message) -> bool:
+        """Send a message; False when there is no connection."""
+        if self._link is None:
+            return False
+        self._link.send(message)
+        return True
 
     def stop(self) -> None:
         """End the connection."""
@@ -148,13 +152,21 @@
     Parameters
     ----------
     handle
-        Called with each message of a peer.
+        Called with each message of a peer, and with its link.
+    greet
+        Returns what a new peer is told at once, None for nothing.
     """
 
-    def __init__(self, key: str, handle: Callable[[Message], None]) -> None:
+    def __init__(
+        self,
+        key: str,
+        handle: Callable[[Message, Link], None],
+        greet: Callable[[], Message | None] | None = None,
+    ) -> None:
         """Start without links."""
         self._key = key
         self._handle = handle
+        self._greet = greet
         self._links: dict[Link, str] = {}
 
     @property
@@ -175,10 +187,17 @@
             max_size=_LONGEST_FRAME,
         )
 
-    def broadcast(self, message: Message) -> None:
-        """Send a message to every peer."""
+    def broadcast(self, message: Message, but: Link | None = None) -> None:
+        """Send a message to every peer, but for one."""
         for link in self._links:
-            link.send(message)
+            if link is not but:
+                link.send(message)
+
+    def send_to(self, peer: str, message: Message) -> None:
+        """Send a message to the peer of a name, if it is connected."""
+        for link, name in self._links.items():
+            if name == peer:
+                link.send(message)
 
     async def _serve(self, socket: ServerConnection) -> None:
         try:
@@ -190,8 +209,11 @@
         link = Link(socket)
         self._links[link] = hello.process
         log_event('link_opened', peer=hello.process, peers=self.peers)
+        greeting = self._greet and self._greet()
+        if greeting is not None:
+            link.send(greeting)
         try:
-            await link.run(self._handle)
+            await link.run(lambda message: self._handle(message, link))
         finally:
             self._links.pop(link)
             log_event('link_closed', peer=hello.process, peers=self.peers)
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -74,6 +74,7 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: Count = CallerLimits().header_bytes
     max_body_bytes: Count = CallerLimits().body_bytes
+    header_timeout_ms: Number = CallerLimits().head_seconds * _MILLISECONDS
 
 
 class _Holder(msgspec.Struct):
@@ -130,7 +131,9 @@
             for key in holder.api_keys
         },
         limits=CallerLimits(
-            table.limits.max_header_bytes, table.limits.max_body_bytes
+            table.limits.max_header_bytes,
+            table.limits.max_body_bytes,
+            table.limits.header_timeout_ms / _MILLISECONDS,
         ),
     )
 
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -37,7 +37,11 @@
         self._keeper = EngineKeeper(
             self._engine, place, SystemClock(), self._metrics
         )
-        self._server = PeerServer(settings.link_key, self._keeper.handle)
+        self._server = PeerServer(
+            settings.link_key,
+            self._keeper.handle,
+            lambda: self._keeper.last_report,
+        )
         self._keeper.server = self._server
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -87,7 +91,8 @@
 
     async def _send_found(self, links: list[PeerLink]) -> None:
         while True:
-            await asyncio.sleep(_ANNOUNCE_SECONDS)
+            # At once when it has started, and again for entries that start.
+            await self._keeper.wait_named(_ANNOUNCE_SECONDS)
             found = self._keeper.found
             for link in links:
                 if found is not None:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -9,17 +9,20 @@
 from ..balancing import LeastPressed
 from ..callplacement import CallPlacement, PlacementTools, RelayRules
 from ..clock import SystemClock, make_random
+from ..codec import Message
 from ..engineview import EngineView
 from ..gen_node import NodeSettings
 from ..httpserver import HttpLimits, listen, listen_metrics, split_address
 from ..identity import make_identifier
+from ..link import Link
 from ..logs import log_event
 from ..metrics import Metrics
 from ..moves import NoticeBoard
+from ..peercatchup import PeerCatchUp
 from ..peerlink import LinkIdentity, PeerServer
 from ..process import spawn
 from ..relay import Relay, RelayTools
-from ..routes import TableHolder
+from ..routes import CallerLimits, TableHolder
 from ..shares import EntryCount, RepeatRule
 from ..stopping import StopWindow
 from ..watcher import Watcher, WatchPace
@@ -70,10 +73,13 @@
             ),
             clock=self._clock,
             link_port=settings.link_port,
+            handle_other=self._hear,
         )
         self._beliefs = Beliefs(
             self._tables, self._backends, self._clock, self._engines.update
         )
+        self._watcher = self._make_watcher()
+        self._catch_up = PeerCatchUp(settings.name, self._watcher)
         self._stop = StopWindow(settings.limits.stop_seconds - _CLOSE_SECONDS)
         self._front = self._make_front()
         self._peers = PeerServer(
@@ -91,7 +97,9 @@
                 HttpLimits(),
             ),
             await listen(
-                self._front.handle, settings.entry.callers, HttpLimits()
+                self._front.handle,
+                settings.entry.callers,
+                HttpLimits(head_seconds=self._head_seconds),
             ),
         ]
         if settings.metrics_port:
@@ -101,7 +109,7 @@
                 )
             )
         tasks = [
-            spawn(self._make_watcher().run(), 'beliefs'),
+            spawn(self._watcher.run(), 'beliefs'),
             spawn(self._tick(), 'tick'),
         ]
         async with self._peers.listen(*split_address(settings.entry.peers)):
@@ -158,9 +166,16 @@
             _EVERYTHING,
             WatchPace(_POLL_SECONDS, polls_per_listing=1),
             self._beliefs.take_pair,
-            self._beliefs.note_store,
+            self._note_store,
         )
 
+    def _note_store(self, answered: bool) -> None:
+        self._beliefs.note_store(answered)
+        self._catch_up.note_store(answered, self._engines)
+
+    def _hear(self, message: Message, link: Link) -> None:
+        self._catch_up.handle(message, link)
+
     def _watch_metrics(self) -> None:
         watch = self._metrics.watch
         watch('active', lambda: self._front.active)
@@ -168,6 +183,10 @@
         watch('endpoints', lambda: len(self._backends.backends))
         watch('entries', lambda: self._entries.count)
 
+    def _head_seconds(self) -> float:
+        table = self._tables.table
+        return (table.limits if table else CallerLimits()).head_seconds
+
     def _is_ready(self) -> bool:
         # Stays ready through an outage of the key-value service, with what
         # is known.
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -114,10 +114,19 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Bounds on what a caller may send, in bytes."""
+    """Bounds on what a caller may send.
+
+    Attributes
+    ----------
+    header_bytes, body_bytes
+        Largest head and body.
+    head_seconds
+        How long a head may take.
+    """
 
     header_bytes: int = 16384
     body_bytes: int = 4194304
+    head_seconds: float = 10
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosewood/watcher.py
+++ b/primrosewood/watcher.py
@@ -1,7 +1,7 @@
 """Follows a prefix of the key-value service."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from .errors import HistoryLostError, StoreUnavailableError
@@ -68,9 +68,15 @@
         self._pace = pace
         self._take = take
         self._note_answered = note_answered or _ignore
-        self._known: dict[str, int] = {}
+        self._known: dict[str, Pair] = {}
         self._deleted: dict[str, int] = {}
         self._newest = 0
+        self._told_newest = 0
+
+    @property
+    def newest(self) -> int:
+        """Last revision that was heard of, from the service or from peers."""
+        return max(self._newest, self._told_newest)
 
     async def run(self, watch: bool = True) -> None:
         """Follow until cancelled.
@@ -93,15 +99,46 @@
         found = {pair.key for pair in listing.pairs}
         for pair in listing.pairs:
             self._report(pair)
-        for key, revision in before.items():
+        for key, pair in before.items():
             # What the watch brought while the listing was under way is not
             # in it, and is no deletion.
-            if key not in found and self._known.get(key) == revision:
+            if key not in found and self._known.get(key) is pair:
                 self._report_deleted(key, listing.revision)
         # A service that has dropped its history refuses to watch from an old
         # revision, even if nothing below the prefix has changed since.
         self._newest = max(self._newest, listing.revision)
 
+    def changes_since(self, revision: int) -> list[Change]:
+        """Return what is known to have changed after a revision."""
+        changes = [
+            Change(pair.key, pair.revision, pair)
+            for pair in self._known.values()
+            if pair.revision > revision
+        ]
+        changes += [
+            Change(key, deleted, None)
+            for key, deleted in self._deleted.items()
+            if deleted > revision
+        ]
+        return changes
+
+    def take_told(self, changes: Iterable[Change], newest: int) -> None:
+        """Take what a peer knows while the service does not answer here.
+
+        The watch goes on from where the service was last heard, not from
+        what was told: a peer may have missed a change.
+
+        Parameters
+        ----------
+        changes
+            What the peer knows to have changed.
+        newest
+            Last revision that the peer knows.
+        """
+        for change in changes:
+            self._apply(change)
+        self._told_newest = max(self._told_newest, newest)
+
     async def _list_until_answered(self) -> None:
         while not await self._try(self.list_all()):
             await asyncio.sleep(_RETRY_SECONDS)
@@ -130,6 +167,7 @@
         since = self._newest + 1
         for pair in await self._store.list_pairs(self._prefix, since):
             self._report(pair)
+            self._newest = max(self._newest, pair.revision)
 
     async def _watch(self) -> None:
         while True:
@@ -145,10 +183,10 @@
     async def _follow(self) -> None:
         changes = self._store.watch(self._prefix, self._newest + 1)
         async for change in changes:
+            self._newest = max(self._newest, change.revision)
             self._apply(change)
 
     def _apply(self, change: Change) -> None:
-        self._newest = max(self._newest, change.revision)
         if change.pair is None:
             self._report_deleted(change.key, change.revision)
         else:
@@ -158,15 +196,14 @@
         # A listing may be older than what the watch has brought meanwhile: it
         # would bring back what was deleted, or an older value.
         deleted = self._deleted.get(pair.key, 0)
-        if pair.revision < max(deleted, self._known.get(pair.key, 0)):
+        if pair.revision < max(deleted, self._known_revision(pair.key)):
             return
-        self._known[pair.key] = pair.revision
+        self._known[pair.key] = pair
         self._deleted.pop(pair.key, None)
-        self._newest = max(self._newest, pair.revision)
         self._take(pair.key, pair)
 
     def _report_deleted(self, key: str, revision: int) -> None:
-        if revision < self._known.get(key, 0):
+        if revision < self._known_revision(key):
             return
         self._known.pop(key, None)
         self._deleted.pop(key, None)
@@ -175,6 +212,10 @@
             self._deleted.pop(next(iter(self._deleted)))
         self._take(key, None)
 
+    def _known_revision(self, key: str) -> int:
+        known = self._known.get(key)
+        return known.revision if known else 0
+
 
 def _ignore(_answered: bool) -> None:
     """Do nothing with whether the service answered."""
--- a/standins/store.py
+++ b/standins/store.py
@@ -73,15 +73,18 @@
     async def _spoil(self, request: web.Request, handler) -> web.Response:
         self.calls += 1
         self.store.expire_leases()
-        if self.faults.silent:
-            await asyncio.sleep(_FOREVER)
-        if self.faults.down:
-            return web.Response(status=_DOWN)
-        response = await handler(request)
+        response = await self._refuse() or await handler(request)
+        # A watch may have waited since before the fault.
+        response = await self._refuse() or response
         if self.faults.lose_writes and request.method == 'POST':
             request.transport.abort()
         return response
 
+    async def _refuse(self) -> web.Response | None:
+        if self.faults.silent:
+            await asyncio.sleep(_FOREVER)
+        return web.Response(status=_DOWN) if self.faults.down else None
+
     async def _fetch(self, request: web.Request) -> web.Response:
         pair = await self.store.fetch(request.query['key'])
         if pair is None:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -39,7 +39,7 @@
 GUIDE = {'Primrosewood-Token-Usage': '1000,80', **KEY}
 
 
-def make_table(version=1, keys=('key-1',), prefix='/lookup/'):
+def make_table(version=1, keys=('key-1',), prefix='/lookup/', **limits):
     def route(name, path, kind, service, **fields):
         return {
             'name': name,
@@ -68,7 +68,11 @@
             },
             {'name': 'desk'},
         ],
-        'limits': {'max_header_bytes': 4000, 'max_body_bytes': 10_000},
+        'limits': {
+            'max_header_bytes': 4000,
+            'max_body_bytes': 10_000,
+            **limits,
+        },
         'tenants': [{'name': 'o1', 'api_keys': list(keys)}],
     }
 
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -28,12 +28,16 @@
         self.answers = []
         self.keeper = None
         self.peers = 2
+        self.sent = []
 
-    def broadcast(self, message):
+    def send_to(self, peer, message):
+        self.sent.append((peer, message))
+
+    def broadcast(self, message, but=None):
         self.told.append(message)
         if isinstance(message, wire.RoomAsk):
             for answer in self.answers:
-                self.keeper.handle(answer)
+                self.keeper.handle(answer, None)
 
     def moves(self):
         return [
@@ -253,7 +257,41 @@
         await self.wait_for(lambda: self.keeper.found is not None)
         self.assertEqual('i-a', self.keeper.found.name)
 
+    async def test_name_is_asked_for_as_soon_as_the_engine_answers(self):
+        """An engine starts while the key-value service is away.
+
+        Entries hear of it from here alone; asked for by a timer, its name came
+        up to a second later, and for that time a leaving engine beside it had
+        nowhere to move its streams.
+        """
+        with mock.patch('primrosewood.enginekeeper._NAME_SECONDS', 60):
+            await self.lose_engine()
+            await asyncio.sleep(0.1)
+            waiting = asyncio.create_task(self.keeper.wait_named(5))
+            self.engine.gone = False
+            async with asyncio.timeout(1):
+                await waiting
+        self.assertEqual('i-a', self.keeper.found.name)
+
+    async def test_entry_that_connects_is_told_the_last_report(self):
+        """An entry links to an engine that it has just heard of.
+
+        Without a report the engine counts as having no room for streams that
+        leave another one; the next report may be half a second away.
+        """
+        await self.wait_for(lambda: self.server.told)
+        self.assertIsInstance(self.keeper.last_report, wire.EngineReport)
+
+    async def test_what_entries_ask_each_other_is_passed_on(self):
+        """Entries have no links to each other; one asks what others read."""
+        ask = wire.PairsAsk('entry-2', 7)
+        self.keeper.handle(ask, 'link of entry-2')
+        self.assertIn(ask, self.server.told)
+        told = wire.PairsTold('entry-2', 9, [])
+        self.keeper.handle(told, 'link of entry-1')
+        self.assertEqual([('entry-2', told)], self.server.sent)
+
     async def test_another_entrys_finding_is_passed_on(self):
         found = wire.EngineFound('i-b', 'b:1', 's', 'd1')
-        self.keeper.handle(found)
+        self.keeper.handle(found, None)
         self.assertIn(found, self.server.told)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,6 +9,8 @@
 
 from .deployment import GUIDE, KEY, Deployment, make_table
 
+NAMED = b'Primrosewood-Attempt-Id: ef56\r\n\r\n'
+
 
 class PathTest(Deployment):
     """Requests of all kinds, answered whole."""
@@ -63,6 +65,52 @@
         self.assertTrue(answer.endswith(b' 400'))
         self.assertEqual([], self.service.ran)
 
+    async def open_head(self, *parts):
+        """Return what comes back for a head that is sent in parts."""
+        reader, writer = await asyncio.open_connection(*self.callers.split(':'))
+        self.addCleanup(writer.close)
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        async with asyncio.timeout(5):
+            return await reader.read(12), reader
+
+    async def test_slow_head(self):
+        """A stranger opens connections and sends half a head on each.
+
+        Nothing ended them, so that the entry ran out of descriptors. The
+        refusal is true: nothing of the request was handed on.
+        """
+        await self.put('op/config', make_table(2, header_timeout_ms=200))
+        await asyncio.sleep(0.9)
+        half = b'GET /open/ HTTP/1.1\r\nHost: h.exa'
+        answer, reader = await self.open_head(half)
+        self.assertEqual(b'HTTP/1.1 408', answer)
+        async with asyncio.timeout(5):
+            await reader.read()
+        self.assertEqual([], self.service.ran)
+
+    async def test_slow_head_after_a_whole_request(self):
+        await self.put('op/config', make_table(2, header_timeout_ms=200))
+        await asyncio.sleep(0.9)
+        whole = b'GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n' + NAMED
+        answer, reader = await self.open_head(whole, b'GET /open/ HT')
+        self.assertEqual(b'HTTP/1.1 404', answer)
+        async with asyncio.timeout(5):
+            self.assertIn(b'HTTP/1.1 408', await reader.read())
+
+    async def test_head_in_parts_and_an_idle_connection(self):
+        """A caller sends its head in two packets and keeps the connection."""
+        await self.put('op/config', make_table(2, header_timeout_ms=200))
+        await asyncio.sleep(0.9)
+        answer, reader = await self.open_head(
+            b'GET /nowhere/ HTTP/1.1\r\nHost', b': h.example\r\n' + NAMED
+        )
+        self.assertEqual(b'HTTP/1.1 404', answer)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.6):
+                await reader.readuntil(b'HTTP/1.1 408')
+
     async def test_spoiled_body(self):
         """A caller's body breaks its own framing halfway.
 
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -6,7 +6,7 @@
 from primrosewood.announce import Announcer
 from primrosewood.errors import HistoryLostError, StoreUnavailableError
 from primrosewood.gen_stored import MemberRecord
-from primrosewood.kv import MemoryKeyValue
+from primrosewood.kv import Change, MemoryKeyValue, Pair
 from primrosewood.watcher import Watcher, WatchPace
 
 
@@ -167,6 +167,52 @@
         await watcher.list_all()
         self.assertEqual({}, self.held)
 
+    async def test_changes_that_a_peer_tells(self):
+        """An entry that the service turns away hears from one that reads.
+
+        It gets what is newer than what it holds, deletions included, and is
+        not taken back by a peer that knows less.
+        """
+        store = MemoryKeyValue()
+        await store.put('m/1', b'1')
+        await store.put('m/2', b'2')
+        cut = Watcher(store, 'm/', WatchPace(1000), self.take)
+        peer = Watcher(store, 'm/', WatchPace(1000), _drop)
+        await cut.list_all()
+        await peer.list_all()
+        await store.put('m/1', b'new')
+        store.delete('m/2')
+        await peer.list_all()
+        cut.take_told(peer.changes_since(cut.newest), peer.newest)
+        self.assertEqual({'m/1': b'new'}, self.held)
+        self.assertEqual(peer.newest, cut.newest)
+        cut.take_told([Change('m/1', 1, Pair('m/1', b'1', 1))], 1)
+        self.assertEqual({'m/1': b'new'}, self.held)
+        self.assertEqual(peer.newest, cut.newest)
+
+    async def test_told_changes_do_not_hide_what_the_service_says(self):
+        """A peer missed one change and told the ones after it.
+
+        When the service answers again the missed one must still come.
+        """
+        store = MemoryKeyValue()
+        await store.put('m/1', b'1')
+        watcher = Watcher(store, 'm/', WatchPace(1000), self.take)
+        await watcher.list_all()
+        await store.put('m/2', b'missed')
+        await store.put('m/3', b'told')
+        told = await store.list_pairs('m/3')
+        watcher.take_told(
+            [Change(pair.key, pair.revision, pair) for pair in told], 3
+        )
+        following = asyncio.create_task(watcher.run())
+        self.addCleanup(following.cancel)
+        await self.wait_for({'m/1': b'1', 'm/2': b'missed', 'm/3': b'told'})
+
+
+def _drop(_key, _pair):
+    """Take nothing."""
+
 
 class _FirstPutFails(MemoryKeyValue):
     """Loses the first write."""
