Explain a request from the logs of several processes

Ruled out: ordering by corrected clocks (a step in mid-run spoils it; the lines themselves say what followed from what).

Change: loglines reads lines back, also behind what a collector puts in front; logstory orders a request's lines by cause, adds what the processes believed, and gives a verdict; primrosewood-ctl explain ID FILE... and outcomes FILE... show them. The stand-in engine can lose power.

--- a/primrosewood/ctl.py
+++ b/primrosewood/ctl.py
@@ -1,9 +1,11 @@
-"""Operators' command line: a thin client of the administration API."""
+"""Operators' command line: the administration API, and logs of a run."""
 
 import asyncio
 import json
 import os
+import signal
 import sys
+from collections.abc import Sequence
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any
@@ -14,6 +16,8 @@
 from .config import check_document
 from .documents import find_differences
 from .errors import SettingsInvalidError
+from .loglines import LogLine, count_outcomes, parse_lines
+from .logstory import tell_story
 
 __all__ = ('Ctl', 'main')
 
@@ -22,6 +26,7 @@
 _TIMEOUT_SECONDS = 30
 _REFUSED = 1
 _INVALID = 2
+_IN_EVERY_LINE = frozenset(('ts', 'level', 'process', 'request'))
 
 
 class Ctl:
@@ -38,6 +43,8 @@
     primrosewood-ctl diff cymru settings.json
     primrosewood-ctl domain_out cymru abertawe
     primrosewood-ctl status
+    primrosewood-ctl explain 9c41d07be2a35f68 entry.log endpoint.log
+    primrosewood-ctl outcomes entry.log
     """
 
     def __init__(self) -> None:
@@ -100,6 +107,31 @@
         """Print a JSON Schema (team, process or keys) for an editor."""
         _show(self._call('GET', f'/schema/{name}'))
 
+    def explain(self, request: str, *files: str) -> None:
+        """Print what the logs of some processes say about a request.
+
+        Lines come by cause: clocks of different VMs are not compared. Times
+        are seconds since the first line shown of the same process. Exits with
+        1 when no line has the id.
+        """
+        lines = _read_logs(files)
+        # The command line library reads an id of digits as a number.
+        story = tell_story(lines, str(request))
+        starts: dict[str, float] = {}
+        _write_lines(story.beliefs, 'believed', starts)
+        _write_lines(story.lines, 'happened', starts)
+        sys.stdout.write(f'verdict: {story.verdict}\n')
+        sys.exit(0 if story.lines else _REFUSED)
+
+    def outcomes(self, *files: str, seconds: float = 2) -> None:
+        """Print how requests ended in each span of time, as a table."""
+        counted = count_outcomes(_read_logs(files), seconds)
+        names = sorted({name for span in counted.values() for name in span})
+        _write_row('second', names)
+        for span in sorted(counted):
+            shown = [counted[span][name] for name in names]
+            _write_row(format(span * seconds, 'g'), shown)
+
     def domain_out(self, team: str, failure_domain: str) -> None:
         """Take a failure domain out; the team 'platform' means all teams."""
         self._put_domain(team, failure_domain, 'out')
@@ -144,6 +176,8 @@
 
 def main() -> None:
     """Run the binary ``primrosewood-ctl``."""
+    # A reader such as head closes the pipe when it has seen enough.
+    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
     fire.Fire(Ctl(), name='primrosewood-ctl')
 
 
@@ -163,6 +197,33 @@
         return setting
 
 
+def _read_logs(files: Sequence[str]) -> list[LogLine]:
+    texts: list[str] = []
+    for file in files:
+        text = Path(file).read_text(encoding='utf-8', errors='replace')
+        texts += text.splitlines()
+    return parse_lines(texts)
+
+
+def _write_lines(
+    lines: Sequence[LogLine], heading: str, starts: dict[str, float]
+) -> None:
+    sys.stdout.write(f'{heading}:\n')
+    for line in lines:
+        since = line.seconds - starts.setdefault(line.process, line.seconds)
+        shown = ' '.join(
+            f'{name}={text}'
+            for name, text in line.pairs.items()
+            if name not in _IN_EVERY_LINE
+        )
+        sys.stdout.write(f'  {line.process} +{since:.3f} {shown}\n')
+
+
+def _write_row(first: str, cells: Sequence[Any]) -> None:
+    sys.stdout.write('\t'.join([first, *map(str, cells)]))
+    sys.stdout.write('\n')
+
+
 def _show(answer: Any) -> None:
     sys.stdout.write(f'{json.dumps(answer, indent=2)}\n')
 
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -117,6 +117,7 @@
         super().__init__(name)
         self.address = address
         self.leaves_ms: float | None = None
+        self.powered = True
         self.events = 20
         self.pause = 0.02
         self._copies = copies
@@ -124,6 +125,9 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        if not self.powered:
+            request.transport.abort()
+            return web.Response()
         if request.path == '/report':
             return self._report()
         if request.path == '/healthz':
@@ -137,6 +141,11 @@
         for run in list(self._runs.values()):
             run.stopped.set()
 
+    def lose_power(self) -> None:
+        """Cut all streams and answer nothing more."""
+        self.powered = False
+        self.crash()
+
     def _report(self) -> web.Response:
         runs = [
             [run.name, _PROMPT + run.events, run.events, 0]
--- a/tests/test_platform_explain.py
+++ b/tests/test_platform_explain.py
@@ -14,7 +14,9 @@
 import aiohttp
 from loguru import logger
 
+from primrosewood.loglines import parse_lines
 from primrosewood.logs import configure_logs
+from primrosewood.logstory import tell_story
 
 from .deployment import GUIDE, Deployment
 
@@ -37,6 +39,11 @@
         logger.remove()
         logger.add(sys.stderr)
 
+    def verdict(self, request):
+        """Return what the operators' reader makes of the same lines."""
+        lines = parse_lines(self.file.read_text().splitlines())
+        return tell_story(lines, request).verdict
+
     def grep(self, pattern):
         lines = self.file.read_text().splitlines()
         return [line for line in lines if re.search(pattern, line)]
@@ -64,6 +71,31 @@
         self.assertIn('kind=generation_lost', lines[-1])
         self.assertIn('why=ClientPayloadError', lines[-1])
         self.assertEqual([], self.grep('event=(not_moved|move_failed)'))
+        self.assertEqual(
+            'broken off: the connection to its engine ended '
+            '(ClientPayloadError)',
+            self.verdict('ab12'),
+        )
+
+    async def test_stream_whose_engine_crashed_and_went(self):
+        """An engine loses power under a reader, without notice."""
+        for engine in self.engines.values():
+            engine.events = 1000
+        reading = asyncio.create_task(
+            self.call('POST', '/guide/1', headers=GUIDE)
+        )
+        await asyncio.sleep(0.3)
+        for engine in self.engines.values():
+            engine.lose_power()
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await reading
+        await self.wait_for(self.has_lost)
+        self.assertEqual(
+            'broken off: its engine ended without notice', self.verdict('ab12')
+        )
+
+    async def has_lost(self):
+        return len(self.grep('event=engine_lost')) == len(self.engines)
 
     async def has_reports(self):
         """Tell whether both engines have reported to the entry."""
@@ -89,6 +121,10 @@
         )
         self.assertIn('failure_domain=d1', out[-1])
         self.assertIn('revision=', out[-1])
+        self.assertEqual(
+            'refused as no_endpoint: failure domain d1 was out',
+            self.verdict('cd34'),
+        )
 
     async def test_outcome_that_nobody_knows(self):
         """A counter complains: was the reorder placed or not?"""
@@ -102,6 +138,11 @@
         refused = self.grep('event=refused.*request=ab12')[0]
         self.assertIn('ran=unknown', refused)
         self.assertEqual(1, len(self.grep('event=sent.*request=ab12')))
+        self.assertEqual(
+            'refused as outcome_unknown: i-desk gave no answer, '
+            'it may have run',
+            self.verdict('ab12'),
+        )
 
     async def test_no_secret_in_any_line(self):
         await self.call('POST', '/guide/1', headers=GUIDE, data=b'our prompt')
