Read the key-value service once for all entries

Cause: each entry held a watch and listed everything every 0.7 s beside it, 2.7 calls a second, so that calls grew with the fleet: about 900 a second at 330 entries, for a service that bears several hundred.

Ruled out: a chosen reader (an election, and a time without one); watches alone (they can be silent without a sign); longer periods (changes must be in force in two seconds).

Change: sharedreader. Whoever's time has come reads all, and tells what changed since the revision before; who hears it puts its own reading off by 0.4 to 0.6 s. A gap in what was told, or silence, makes an entry read by itself. What was peercatchup is part of it: an entry that the service turns away hears from the others. StoreView, from the watcher, keeps what is known; the watcher stays for the product's own settings and membership.

Forty readers in a test ask under 20 times in two seconds.

--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -170,7 +170,7 @@
         elif isinstance(message, wire.PairsAsk):
             self.server.broadcast(message, but=link)
         elif isinstance(message, wire.PairsTold):
-            self.server.send_to(message.asker, message)
+            self._pass_on(message, link)
 
     async def run_naming(self) -> None:
         """Learn the engine's name, for announcements, until cancelled.
@@ -196,6 +196,12 @@
             return
         self._named.clear()
 
+    def _pass_on(self, message: wire.PairsTold, link: Link) -> None:
+        if message.asker:
+            self.server.send_to(message.asker, message)
+        else:
+            self.server.broadcast(message, but=link)
+
     async def _learn_name(self) -> None:
         try:
             name = await self._engine.identify()
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -237,7 +237,7 @@
 
 class PairsAsk(Struct, array_like=True):
     """
-    An entry that the key-value service does not answer asks the others for what they read there.
+    An entry that the key-value service does not answer asks the others what they read there.
     """
 
     asker: Annotated[str, Meta(description='Name of the process that asks.')]
@@ -252,10 +252,22 @@
 
 class PairsTold(Struct, array_like=True):
     """
-    Answers PairsAsk.
+    What changed in the key-value service, as one entry read it.
     """
 
-    asker: str
+    asker: Annotated[
+        str,
+        Meta(description='Name of the process that asked; empty when it is for all.'),
+    ]
+    """
+    Name of the process that asked; empty when it is for all.
+    """
+    since: Annotated[
+        int, Meta(description='Revision after which the changes begin.', ge=0)
+    ]
+    """
+    Revision after which the changes begin.
+    """
     newest: Annotated[
         int, Meta(description='Last revision that the answering process knows.', ge=0)
     ]
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -18,14 +18,14 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from ..moves import NoticeBoard
-from ..peercatchup import PeerCatchUp
 from ..peerlink import LinkIdentity, PeerServer
 from ..process import spawn
 from ..relay import Relay, RelayTools
 from ..routes import CallerLimits, TableHolder
+from ..sharedreader import SharedReader
 from ..shares import EntryCount, RepeatRule
 from ..stopping import StopWindow
-from ..watcher import Watcher, WatchPace
+from ..storeview import StoreView
 from .beliefs import Beliefs
 from .engines import HttpTransport
 from .front import Front, answer_ready
@@ -33,9 +33,8 @@
 
 __all__ = ('EntryNode',)
 
-# Changes must be in force two seconds after they were accepted, also when the
-# watch is silent: one read and its time-out fit in twice.
-_POLL_SECONDS = 0.7
+# Changes must be in force two seconds after they were accepted: a reading that
+# gets no answer and the next one fit in.
 _STORE_SECONDS = 0.7
 _TICK_SECONDS = 0.1
 # Entries to reckon with until an endpoint tells how many there are; a share
@@ -46,6 +45,7 @@
 _NOTICED_SECONDS = 2.6
 # Left of the time until SIGKILL to close what is open.
 _CLOSE_SECONDS = 0.25
+# One prefix for all: each call is paid for, whatever it returns.
 _EVERYTHING = ''
 
 
@@ -78,8 +78,14 @@
         self._beliefs = Beliefs(
             self._tables, self._backends, self._clock, self._engines.update
         )
-        self._watcher = self._make_watcher()
-        self._catch_up = PeerCatchUp(settings.name, self._watcher)
+        self._reader = SharedReader(
+            name=settings.name,
+            view=StoreView(self._store, _EVERYTHING, self._beliefs.take_pair),
+            clock=self._clock,
+            random=make_random(),
+            send=self._engines.send_to_one,
+            note_answered=self._beliefs.note_store,
+        )
         self._stop = StopWindow(settings.limits.stop_seconds - _CLOSE_SECONDS)
         self._front = self._make_front()
         self._peers = PeerServer(
@@ -109,7 +115,7 @@
                 )
             )
         tasks = [
-            spawn(self._watcher.run(), 'beliefs'),
+            spawn(self._reader.run(), 'beliefs'),
             spawn(self._tick(), 'tick'),
         ]
         async with self._peers.listen(*split_address(settings.entry.peers)):
@@ -154,22 +160,8 @@
             self._stop,
         )
 
-    def _make_watcher(self) -> Watcher:
-        # One prefix for all: each call is paid for, whatever it returns.
-        return Watcher(
-            self._store,
-            _EVERYTHING,
-            WatchPace(_POLL_SECONDS, polls_per_listing=1),
-            self._beliefs.take_pair,
-            self._note_store,
-        )
-
-    def _note_store(self, answered: bool) -> None:
-        self._beliefs.note_store(answered)
-        self._catch_up.note_store(answered, self._engines)
-
     def _hear(self, message: Message, link: Link) -> None:
-        self._catch_up.handle(message, link)
+        self._reader.handle(message, link)
 
     def _watch_metrics(self) -> None:
         watch = self._metrics.watch
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -287,9 +287,12 @@
         ask = wire.PairsAsk('entry-2', 7)
         self.keeper.handle(ask, 'link of entry-2')
         self.assertIn(ask, self.server.told)
-        told = wire.PairsTold('entry-2', 9, [])
+        told = wire.PairsTold('entry-2', 7, 9, [])
         self.keeper.handle(told, 'link of entry-1')
         self.assertEqual([('entry-2', told)], self.server.sent)
+        news = wire.PairsTold('', 7, 9, [])
+        self.keeper.handle(news, 'link of entry-1')
+        self.assertIn(news, self.server.told)
 
     async def test_another_entrys_finding_is_passed_on(self):
         found = wire.EngineFound('i-b', 'b:1', 's', 'd1')
--- /dev/null
+++ b/tests/test_sharedreader.py
@@ -0,0 +1,214 @@
+"""Entries that share their readings of the key-value service."""
+
+import asyncio
+import unittest
+from random import Random
+
+from primrosewood import gen_wire as wire
+from primrosewood.clock import SystemClock
+from primrosewood.errors import StoreUnavailableError
+from primrosewood.kv import MemoryKeyValue
+from primrosewood.sharedreader import SharedReader
+from primrosewood.storeview import StoreView
+
+
+class _Counted(MemoryKeyValue):
+    """Counts listings; turns readers away."""
+
+    def __init__(self):
+        super().__init__()
+        self.listings = 0
+        self.away = False
+
+    async def list_all(self, prefix):
+        self.listings += 1
+        await asyncio.sleep(0.002)
+        if self.away:
+            raise StoreUnavailableError('away')
+        return await super().list_all(prefix)
+
+
+class _TurnedAway(MemoryKeyValue):
+    """What a process sees that the service turns away."""
+
+    def __init__(self):
+        super().__init__()
+        self.listings = 0
+
+    async def list_all(self, prefix):
+        self.listings += 1
+        raise StoreUnavailableError('not you')
+
+
+class _Bus:
+    """Passes messages on between readers, as a process beside an engine."""
+
+    def __init__(self):
+        self.readers = {}
+        self.cut = set()
+        self.lose = 0
+
+    def connect(self, name):
+        return lambda message: self.send(name, message)
+
+    def send(self, sender, message):
+        if self.lose:
+            self.lose -= 1
+            return
+        asker = getattr(message, 'asker', '')
+        told = isinstance(message, wire.PairsTold)
+        for name, reader in self.readers.items():
+            wanted = name == asker if told and asker else name != sender
+            if wanted and not self.cut & {name, sender}:
+                reader.handle(message, _Link(self, name))
+
+
+class _Link:
+    """The way back to the bus."""
+
+    def __init__(self, bus, name):
+        self._bus = bus
+        self._name = name
+
+    def send(self, message):
+        self._bus.send(self._name, message)
+
+
+class SharedReaderTest(unittest.IsolatedAsyncioTestCase):
+    """What each knows, and how often the service is asked."""
+
+    def setUp(self):
+        self.store = _Counted()
+        self.bus = _Bus()
+        self.held = {}
+        self.answered = {}
+
+    def add(self, name, store=None):
+        held = self.held.setdefault(name, {})
+        notes = self.answered.setdefault(name, [])
+
+        def take(key, pair):
+            if pair is None:
+                held.pop(key, None)
+            else:
+                held[key] = pair.stored
+
+        self.bus.readers[name] = SharedReader(
+            name=name,
+            view=StoreView(store or self.store, '', take),
+            clock=SystemClock(),
+            random=Random(len(self.held)),
+            send=self.bus.connect(name),
+            note_answered=notes.append,
+        )
+        task = asyncio.create_task(self.bus.readers[name].run())
+        self.addCleanup(task.cancel)
+
+    async def wait_held(self, wanted, names=None, seconds=2.0):
+        async with asyncio.timeout(seconds):
+            while any(self.held[name] != wanted for name in names or self.held):
+                await asyncio.sleep(0.01)
+
+    async def test_calls_do_not_grow_with_the_entries(self):
+        """A fleet of 330 entries would ask 900 times a second.
+
+        The service refuses what is over its rate, and changes come late to
+        all. Forty readers here ask little more often than one.
+        """
+        for number in range(40):
+            self.add(f'e{number}')
+        await self.store.put('a', b'1')
+        await self.wait_held({'a': b'1'})
+        self.store.listings = 0
+        await asyncio.sleep(2)
+        # One alone reads four to five times in two seconds.
+        self.assertLess(self.store.listings, 20)
+        self.assertGreaterEqual(self.store.listings, 3)
+
+    async def test_changes_and_deletions_reach_all(self):
+        for number in range(5):
+            self.add(f'e{number}')
+        await self.store.put('a', b'1')
+        await self.store.put('b', b'2')
+        await self.wait_held({'a': b'1', 'b': b'2'})
+        self.store.delete('a')
+        await self.store.put('b', b'3')
+        await self.wait_held({'b': b'3'}, seconds=1.0)
+
+    async def test_entry_that_hears_nothing_reads_by_itself(self):
+        """An entry is cut from what passes messages on, not from the store."""
+        for name in ('e1', 'e2', 'e3'):
+            self.add(name)
+        await self.store.put('a', b'1')
+        await self.wait_held({'a': b'1'})
+        self.bus.cut.add('e2')
+        await self.store.put('a', b'2')
+        await self.wait_held({'a': b'2'}, seconds=1.0)
+
+    async def test_lost_news(self):
+        """Some messages never arrive, without a sign.
+
+        What was told in them must not be missing once later ones come.
+        """
+        for name in ('e1', 'e2', 'e3'):
+            self.add(name)
+        await self.wait_held({})
+        for number in range(12):
+            self.bus.lose = number % 3
+            await self.store.put(f'k{number}', b'x')
+            await asyncio.sleep(0.1)
+        wanted = {f'k{number}': b'x' for number in range(12)}
+        await self.wait_held(wanted, seconds=1.0)
+
+    async def test_entry_that_is_turned_away(self):
+        """The service refuses one entry and serves the others.
+
+        It follows all the same, and does not take the service for lost.
+        """
+        away = _TurnedAway()
+        self.add('e1')
+        self.add('e2')
+        self.add('e3', away)
+        await self.store.put('a', b'1')
+        await self.wait_held({'a': b'1'})
+        self.answered['e3'].clear()
+        for value in (b'2', b'3', b'4'):
+            await self.store.put('a', value)
+            await self.wait_held({'a': value}, seconds=1.0)
+        self.assertNotIn(False, self.answered['e3'])
+        self.assertIn(True, self.answered['e3'])
+
+    async def test_entry_that_is_turned_away_and_hears_no_news(self):
+        """What passes news on is cut, but its own questions get through."""
+        self.add('e1')
+        self.add('e3', _TurnedAway())
+        await self.store.put('a', b'1')
+        await self.wait_held({'a': b'1'})
+        sent = self.bus.send
+
+        def send(sender, message):
+            if getattr(message, 'asker', ''):
+                sent(sender, message)
+
+        self.bus.send = send
+        await self.store.put('a', b'2')
+        await self.wait_held({'a': b'2'}, seconds=2.5)
+
+    async def test_outage_and_return(self):
+        """The service is away for all, then back.
+
+        Each says so once it has lasted, and nobody passes old keys on as news.
+        """
+        for name in ('e1', 'e2'):
+            self.add(name)
+        await self.store.put('a', b'1')
+        await self.wait_held({'a': b'1'})
+        self.store.away = True
+        await self.store.put('a', b'2')
+        async with asyncio.timeout(4):
+            while not all(False in notes for notes in self.answered.values()):
+                await asyncio.sleep(0.01)
+        self.assertEqual({'a': b'1'}, self.held['e1'])
+        self.store.away = False
+        await self.wait_held({'a': b'2'}, seconds=1.0)
+        self.assertTrue(all(notes[-1] for notes in self.answered.values()))
