Set records of lost engines aside until they are written again

Ruled out: full engines, a larger share of repeats (it bounds a sum), routes.

Change: MisdirectedError marks the record by its revision; a listing that shows the same one again changes nothing, a newer one takes the back end in. Both tests failed before.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -48,6 +48,9 @@
     boot
         Start of its process; another one under the same name remembers
         nothing.
+    revision
+        Write that the record stands for; a back end writes it again as long
+        as it lives.
     """
 
     name: str
@@ -58,6 +61,7 @@
     draining: bool = False
     cold_seconds: float = 0
     boot: int = 0
+    revision: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +98,8 @@
         those of prompts.
     found_at
         When it announced itself, None once it is registered.
+    misdirected
+        Revision of its record when another back end answered at its address.
     failing
         Share of its last calls that got no answer, the newest counting most.
     state_at, suspect_until, cold_until
@@ -112,6 +118,7 @@
     leaving: bool = False
     found_at: float | None = None
     failing: float = 0
+    misdirected: int = -1
     suspect_until: float = 0
     cold_until: float = 0
 
@@ -126,6 +133,15 @@
         reported = self.state is not None and self.state.leaving
         return self.leaving or reported or self.record.draining
 
+    @property
+    def misplaced(self) -> bool:
+        """Whether its record stands for a back end that is not there.
+
+        After a loss of power records stand until they lapse, and another
+        start answers at their addresses.
+        """
+        return self.misdirected >= self.record.revision
+
     def report_age(self, now: float) -> float | None:
         """Return seconds since the last report, None without one."""
         return None if self.state is None else now - self.state_at
@@ -145,6 +161,10 @@
         if self.state is not None and old and not self.state.leaving:
             self._replace_state(None)
 
+    def note_misdirected(self) -> None:
+        """Pass it over until its record is written again."""
+        self.misdirected = self.record.revision
+
     def suspect(self, now: float) -> None:
         """Pass it over for a moment, as it did not take a call."""
         self.suspect_until = max(self.suspect_until, now + _SUSPECT_SECONDS)
@@ -302,6 +322,7 @@
             for backend in self._backends.values()
             if backend.record.service == service
             and not backend.stopping
+            and not backend.misplaced
             and backend.record.failure_domain not in self.evacuated
         ]
 
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -16,6 +16,7 @@
 from .errors import (
     BackendCutError,
     ErrorKind,
+    MisdirectedError,
     NotRunError,
     RequestFailedError,
 )
@@ -223,8 +224,8 @@
         booking = Booking(leg, self._tokens(call))
         try:
             yield booking
-        except NotRunError:
-            leg.backend.suspect(self._now())
+        except NotRunError as error:
+            self._note_refusal(leg.backend, error)
             raise
         except BackendCutError:
             leg.backend.note_failure(self._now())
@@ -274,6 +275,18 @@
         """Return what a service's engines can do, None for plain ones."""
         return self._tools.tables.engine_traits(service)
 
+    def _note_refusal(self, backend: Backend, error: NotRunError) -> None:
+        if isinstance(error, MisdirectedError):
+            backend.note_misdirected()
+            log_decision(
+                'endpoint_misplaced',
+                endpoint=backend.name,
+                address=backend.record.address,
+                revision=backend.record.revision,
+            )
+        else:
+            backend.suspect(self._now())
+
     def _note_silence(
         self, call: DirectCall, booking: Booking, since: float
     ) -> None:
--- a/primrosewood/errors.py
+++ b/primrosewood/errors.py
@@ -13,6 +13,7 @@
     'DoubtError',
     'ErrorKind',
     'HistoryLostError',
+    'MisdirectedError',
     'NotRunError',
     'PrimrosewoodError',
     'Ran',
@@ -303,6 +304,10 @@
     """An endpoint refused an attempt before it ran."""
 
 
+class MisdirectedError(NotRunError):
+    """Another back end answers at the address that was called."""
+
+
 class AttemptFailedError(RequestFailedError):
     """An attempt ran, or may have run, and ended without an answer."""
 
--- a/primrosewood/logstory.py
+++ b/primrosewood/logstory.py
@@ -21,6 +21,7 @@
         'endpoint_announced',
         'endpoint_changed',
         'endpoint_in',
+        'endpoint_misplaced',
         'endpoint_missing',
         'endpoint_out',
         'endpoint_reported',
--- a/primrosewood/platform/beliefs.py
+++ b/primrosewood/platform/beliefs.py
@@ -104,7 +104,7 @@
             self._changed()
             return
         try:
-            record = documents.parse_backend(name, pair.stored)
+            record = documents.parse_backend(name, pair.stored, pair.revision)
         except WireError as error:
             log_event('record_refused', 'WARNING', endpoint=name, why=error)
             self._backends.remove(name, now)
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -138,7 +138,7 @@
     )
 
 
-def parse_backend(name: str, stored: bytes) -> BackendRecord:
+def parse_backend(name: str, stored: bytes, revision: int = 0) -> BackendRecord:
     """Return the back end that a record names.
 
     Raises
@@ -159,6 +159,7 @@
         draining=found.state == 'draining',
         cold_seconds=found.cold_remaining_ms / _MILLISECONDS,
         boot=found.born,
+        revision=revision,
     )
 
 
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -17,7 +17,7 @@
 from ..clock import Clock
 from ..directcalls import DirectCall, Header, Leg
 from ..enginekeeper import EngineReading
-from ..errors import BackendCutError, ErrorKind, NotRunError
+from ..errors import BackendCutError, ErrorKind, MisdirectedError, NotRunError
 from ..httpclient import never_repeat
 from ..moves import EngineRun
 from . import headers
@@ -299,8 +299,9 @@
     or without the seal that shows them to be the back end's own.
     """
     found = response.headers
-    misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
-    if misdirected or headers.NOT_RUN in found:
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        raise MisdirectedError(ErrorKind.no_endpoint, 'another one is there')
+    if headers.NOT_RUN in found:
         raise NotRunError(ErrorKind.overloaded, f'status {response.status}')
     fault = _find_fault(call, response)
     if fault:
--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -28,8 +28,8 @@
 
 # From hearing of the service to the next reading, up to half as much again so
 # that not all read at once.  Operators' changes must be in force two seconds
-# after they were accepted: two readings that fail by their time-out of 0.7 s
-# still leave time for a third of somebody else.
+# after they were accepted: one reading that ends by its time-out of 0.7 s
+# leaves time for another.
 _PERIOD_SECONDS = 0.4
 _JITTER = 0.5
 # A reading that fails while others read well is no outage.
--- a/primrosewood/storeview.py
+++ b/primrosewood/storeview.py
@@ -72,9 +72,9 @@
         return changes
 
     def take_told(self, changes: Iterable[Change], newest: int) -> None:
-        """Take what a peer knows while the service does not answer here.
+        """Take what a peer has read in place of this process.
 
-        The watch goes on from where the service was last heard, not from
+        A watch goes on from where the service itself was last heard, not from
         what was told: a peer may have missed a change.
 
         Parameters
--- a/tests/test_backendset.py
+++ b/tests/test_backendset.py
@@ -75,6 +75,25 @@
         self.assertTrue(self.backends.is_cold(found, 111))
         self.assertFalse(self.backends.is_cold(found, 114))
 
+    def test_record_of_a_back_end_that_lost_power(self):
+        """All VMs lose power; engines come back under other names.
+
+        Old records stand until they lapse, seconds later, and another engine
+        answers at their addresses that it is not the one. Tried again each
+        second they used up the share of repeats, and callers were refused
+        while the new engines had room.
+        """
+        old = self.backends.take(make_record('e1', revision=7), 100)
+        self.backends.take(make_record('e2', revision=8), 100)
+        old.note_misdirected()
+        self.assertEqual(['e2'], self.names())
+        # A listing shows the same record again.
+        self.backends.take(make_record('e1', revision=7), 101)
+        self.assertEqual(['e2'], self.names())
+        # Its back end lives, and writes it anew.
+        self.backends.take(make_record('e1', revision=9), 102)
+        self.assertEqual(['e1', 'e2'], self.names())
+
     def test_another_start_under_the_same_name(self):
         """An engine crashes and starts again under its name.
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,6 +18,7 @@
 from primrosewood.errors import (
     BackendCutError,
     ErrorKind,
+    MisdirectedError,
     NotRunError,
     RequestFailedError,
 )
@@ -216,6 +217,24 @@
         await asyncio.wait([calling])
         self.assertEqual(0, self.transport.legs[0].backend.failing)
 
+    async def test_address_where_another_back_end_answers(self):
+        """A call meets another engine at an old address, and goes elsewhere.
+
+        The old address is not tried again, however often callers ask.
+        """
+        for _ in range(3):
+            self.sink = Sink()
+            elsewhere = MisdirectedError(ErrorKind.overloaded)
+            script = [] if self.transport.legs else [elsewhere]
+            await self.answer(
+                self.make_call(RouteKind.non_idempotent),
+                *script,
+                ScriptedReply(b'a'),
+            )
+        names = [leg.backend.name for leg in self.transport.legs]
+        self.assertNotIn(names[0], names[1:])
+        self.assertEqual(2, len(self.backends.usable('s')))
+
     async def test_refused_after_a_try_in_doubt(self):
         """A look-up breaks off at one back end, and no other takes it.
 
