--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -36,8 +36,7 @@
 _RETURN_SECONDS = 0.5
 _RETURN_SPREAD = 0.5
 # Objectives without a sign of an answer, after which a call that is given up
-# counts against its back end.  Callers leave streams without a first event
-# then, and plain services answer 99 in 100 calls within one.
+# counts against its back end; callers abandon a silent stream then.
 _SILENT_OBJECTIVES = 4
 # Share of the newest prompt in the mean of all: about the last twenty count.
 _PROMPT_WEIGHT = 0.1
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -132,7 +132,7 @@
         self._room: asyncio.Future[list[MoveTarget]] | None = None
         self._done: set[str] = set()
         self._moving: asyncio.Task | None = None
-        self._answers = asyncio.Event()
+        self._engine_answers = asyncio.Event()
         self._named = asyncio.Event()
         self.server: PeerServer | None = None
         self.found: wire.EngineFound | None = None
@@ -179,12 +179,12 @@
         reading of its reports.
         """
         while True:
-            await self._answers.wait()
+            await self._engine_answers.wait()
             await self._learn_name()
             if self.found is None:
                 await asyncio.sleep(_NAME_SECONDS)
             else:
-                self._answers.clear()
+                self._engine_answers.clear()
                 self._named.set()
 
     async def wait_named(self, seconds: float) -> None:
@@ -238,7 +238,7 @@
             self._tell_lost(self._reading.runs)
         self._reading = None
         self.found = None
-        self._answers.clear()
+        self._engine_answers.clear()
         self._named.clear()
         # Entries would take silence for the loss of this process.
         self._tell(_GONE, at_once=False)
@@ -247,7 +247,7 @@
         if self._reading is None:
             log_event('engine_found', address=self._engine.address)
             self._done.clear()
-            self._answers.set()
+            self._engine_answers.set()
         was_leaving = self._reading and self._reading.state.leaving
         self._reading = reading
         leaving = reading.state.leaving
--- a/primrosewood/linkserver.py
+++ b/primrosewood/linkserver.py
@@ -99,16 +99,20 @@
 
     async def _serve(self, socket: ServerConnection) -> None:
         try:
-            hello = await read_greeting(
-                socket, self._process_key, _HANDSHAKE_SECONDS
-            )
+            hello = await self._greet(socket)
         except CONNECT_ERRORS as error:
             log_event('link_refused', 'WARNING', why=type(error).__name__)
             await socket.close(_UNAUTHENTICATED)
             return
-        await socket.send(serialise_frame([self._side.welcome()]))
         await self._run_link(socket, hello.process)
 
+    async def _greet(self, socket: ServerConnection) -> wire.Hello:
+        hello = await read_greeting(
+            socket, self._process_key, _HANDSHAKE_SECONDS
+        )
+        await socket.send(serialise_frame([self._side.welcome()]))
+        return hello
+
     async def _run_link(self, socket: ServerConnection, peer: str) -> None:
         link = Link(socket)
         self._links.add(link)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for working on the project."""
