Send workloads of both interfaces through one caller, drop what lost its use

Cause, from reading the whole change again: the platform's load tool had its own copy of the caller's loop of attempts, of its handling of cuts and of the split of its flag of entries; the watcher kept a hook for outages that nothing passes since entries share their readings; every request's length was guessed for a stop that had not begun.

Ruled out: one class for both load tools' flags (their flags differ, the shared part is a signature); dropping the watch from the platform's store (it is part of the key-value interface, under one test suite with the others).

Change: TaskCaller holds loop, order of entries and cuts, Caller and ForwardedCaller what they send and how they read it; split_urls serves both; the hook is gone; the front guesses lengths only once a stop has begun, as the stop admits everything before. Behaviour and tests are as they were.

--- a/primrosewood/caller.py
+++ b/primrosewood/caller.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import time
+from abc import ABC, abstractmethod
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 from urllib.parse import urljoin
 
@@ -10,7 +12,7 @@
 
 from .workloads import Task
 
-__all__ = ('Caller', 'CallerAnswer', 'CallerSettings')
+__all__ = ('Caller', 'CallerAnswer', 'CallerSettings', 'TaskCaller')
 
 _MOST_ATTEMPTS = 8
 _CUT_PAUSE = 0.2
@@ -57,8 +59,8 @@
     seconds: float = 0
 
 
-class Caller:
-    """Sends tasks of a workload."""
+class TaskCaller(ABC):
+    """Sends tasks of a workload, each to one entry after the other."""
 
     def __init__(
         self, session: aiohttp.ClientSession, settings: CallerSettings
@@ -73,7 +75,7 @@
         started = time.monotonic()
         while answer.attempts < self._settings.most_attempts:
             await self._send_once(task, answer, started)
-            if not _may_return(task, answer):
+            if not self._may_return(task, answer):
                 break
             await asyncio.sleep(answer.retry_seconds)
         answer.seconds = time.monotonic() - started
@@ -86,22 +88,60 @@
         url = urls[answer.attempts % len(urls)]
         answer.attempts += 1
         answer.error = ''
-        answer.retry_seconds = _CUT_PAUSE
-        reader = _AnswerReader(answer, started)
         try:
-            async with self._session.request(
-                task.kind.method or 'POST',
-                urljoin(url, _path_of(task)),
-                json=_body_of(task),
-                headers=self._headers(task, answer),
-            ) as response:
+            async with self._request(url, task, answer) as response:
                 answer.status = response.status
-                await reader.read(response)
+                await self._read(response, answer, started)
         except (aiohttp.ClientError, TimeoutError) as error:
             name = type(error).__name__
             answer.error = f'cut_{name}'
             answer.ran = 'unknown'
 
+    @abstractmethod
+    def _request(
+        self, url: str, task: Task, answer: CallerAnswer
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Return the request of one attempt; the answer is the last one's."""
+
+    @abstractmethod
+    async def _read(
+        self,
+        response: aiohttp.ClientResponse,
+        answer: CallerAnswer,
+        started: float,
+    ) -> None:
+        """Read a response into the answer."""
+
+    @abstractmethod
+    def _may_return(self, task: Task, answer: CallerAnswer) -> bool:
+        """Tell whether a task may be sent again."""
+
+
+class Caller(TaskCaller):
+    """A caller of the product's own interface."""
+
+    def _request(
+        self, url: str, task: Task, answer: CallerAnswer
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        answer.retry_seconds = _CUT_PAUSE
+        return self._session.request(
+            task.kind.method or 'POST',
+            urljoin(url, _path_of(task)),
+            json=_body_of(task),
+            headers=self._headers(task, answer),
+        )
+
+    async def _read(
+        self,
+        response: aiohttp.ClientResponse,
+        answer: CallerAnswer,
+        started: float,
+    ) -> None:
+        await _AnswerReader(answer, started).read(response)
+
+    def _may_return(self, task: Task, answer: CallerAnswer) -> bool:
+        return _may_return(task, answer)
+
     def _headers(self, task: Task, answer: CallerAnswer) -> dict[str, str]:
         key = self._settings.key
         headers = {'Authorization': f'Bearer {key}'}
--- a/primrosewood/load.py
+++ b/primrosewood/load.py
@@ -8,31 +8,23 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Protocol
 
 import aiohttp
 import fire
 import msgspec
 
-from .caller import Caller, CallerAnswer, CallerSettings
+from .caller import Caller, CallerAnswer, CallerSettings, TaskCaller
 from .invariants import AnswerRecord, check_tokens
 from .metrics import Percentiles
 from .workloads import Task, make_tasks, workload_names
 
-__all__ = ('LoadTool', 'TaskSender', 'main', 'run_workload')
+__all__ = ('LoadTool', 'main', 'run_workload', 'split_urls')
 
 _PERCENTILES = (50, 95, 99, 99.9)
 _BROKEN = 1
 _CLIENT_SECONDS = 600
 
 
-class TaskSender(Protocol):
-    """Sends the tasks of a workload."""
-
-    async def send(self, task: Task) -> CallerAnswer:
-        """Send a task until it is answered or may not be sent again."""
-
-
 @dataclass(frozen=True, slots=True)
 class _Sent:
     task: Task
@@ -83,7 +75,7 @@
         out
             File for one JSON line for each answer.
         """
-        settings = CallerSettings(_split_urls(urls), key)
+        settings = CallerSettings(split_urls(urls), key)
         run_workload(
             (workload, rate, seconds, seed),
             lambda session: Caller(session, settings),
@@ -120,7 +112,8 @@
     fire.Fire(LoadTool(), name='primrosewood-load')
 
 
-def _split_urls(urls: str | tuple[str, ...]) -> tuple[str, ...]:
+def split_urls(urls: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Return the entries that a flag names."""
     # The command line library makes a tuple of words with commas by itself.
     parts = urls.split(',') if isinstance(urls, str) else urls
     return tuple(part.strip().rstrip('/') for part in parts)
@@ -128,7 +121,7 @@
 
 def run_workload(
     asked: tuple[str, float, float, int],
-    make_sender: Callable[[aiohttp.ClientSession], TaskSender],
+    make_caller: Callable[[aiohttp.ClientSession], TaskCaller],
     out: str,
 ) -> None:
     """Send a workload, print what came back, and exit with 1 for a breach.
@@ -137,14 +130,14 @@
     ----------
     asked
         Workload, requests a second, seconds and seed.
-    make_sender
+    make_caller
         Returns what sends the tasks, over a session that outlives it.
     out
         File for one JSON line for each answer, empty for none.
     """
     workload, rate, seconds, seed = asked
     tasks = make_tasks(workload, rate, seconds, random.Random(seed))
-    sent = asyncio.run(_send_all(tasks, make_sender))
+    sent = asyncio.run(_send_all(tasks, make_caller))
     if out:
         _write_lines(Path(out), sent)
     sys.exit(_report([_to_line(each) for each in sent]))
@@ -152,7 +145,7 @@
 
 async def _send_all(
     tasks: list[Task],
-    make_sender: Callable[[aiohttp.ClientSession], TaskSender],
+    make_caller: Callable[[aiohttp.ClientSession], TaskCaller],
 ) -> list[_Sent]:
     started = time.monotonic()
     timeout = aiohttp.ClientTimeout(total=_CLIENT_SECONDS)
@@ -160,15 +153,15 @@
     async with aiohttp.ClientSession(
         timeout=timeout, connector=connector
     ) as session:
-        sender = make_sender(session)
+        caller = make_caller(session)
         return await asyncio.gather(
-            *(_send_at(started + task.at, sender, task) for task in tasks)
+            *(_send_at(started + task.at, caller, task) for task in tasks)
         )
 
 
-async def _send_at(at: float, sender: TaskSender, task: Task) -> _Sent:
+async def _send_at(at: float, caller: TaskCaller, task: Task) -> _Sent:
     await asyncio.sleep(max(0, at - time.monotonic()))
-    return _Sent(task, await sender.send(task))
+    return _Sent(task, await caller.send(task))
 
 
 def _to_line(sent: _Sent) -> Line:
--- a/primrosewood/platform/front.py
+++ b/primrosewood/platform/front.py
@@ -101,7 +101,9 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
         call = await self._read_call(request, arrived)
-        if not self.stop.admits(call, self._relay.guess_length(call), arrived):
+        if self.stop.begun and not self.stop.admits(
+            call, self._relay.guess_length(call), arrived
+        ):
             raise RequestFailedError(
                 ErrorKind.leaving, retry_seconds=_LEAVING_RETURN
             )
--- a/primrosewood/platform/load.py
+++ b/primrosewood/platform/load.py
@@ -1,16 +1,16 @@
 """The load tool's workloads, sent as this platform's callers send them."""
 
-import asyncio
 import time
+from contextlib import AbstractAsyncContextManager
 from http import HTTPStatus
 from secrets import token_hex
 
 import aiohttp
 import fire
 
-from ..caller import CallerAnswer
+from ..caller import CallerAnswer, CallerSettings, TaskCaller
 from ..events import EventSplitter, read_event_id
-from ..load import run_workload
+from ..load import run_workload, split_urls
 from ..workloads import Task
 from . import headers
 
@@ -77,72 +77,63 @@
         out
             File for one JSON line for each answer.
         """
+        settings = CallerSettings(split_urls(urls), key, _MOST_ATTEMPTS)
         run_workload(
             (workload, rate, seconds, seed),
-            lambda session: ForwardedCaller(session, urls, host, key),
+            lambda session: ForwardedCaller(session, settings, host),
             out,
         )
 
 
-class ForwardedCaller:
+class ForwardedCaller(TaskCaller):
     """A caller whose requests are forwarded byte for byte.
 
     Parameters
     ----------
-    urls
-        Entries, separated by commas.
     host
         Host of the routes.
-    key
-        The organisation's key.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, urls: str, host: str, key: str
+        self,
+        session: aiohttp.ClientSession,
+        settings: CallerSettings,
+        host: str,
     ) -> None:
         """Take a session that outlives the caller."""
-        self._session = session
-        self._urls = [url.strip().rstrip('/') for url in urls.split(',')]
+        super().__init__(session, settings)
         self._host = host
-        self._key = key
-
-    async def send(self, task: Task) -> CallerAnswer:
-        """Send a task until it is answered or may not be sent again."""
-        answer = CallerAnswer()
-        started = time.monotonic()
-        while answer.attempts < _MOST_ATTEMPTS:
-            await self._send_once(task, answer, started)
-            if not _may_return(task, answer):
-                break
-            await asyncio.sleep(answer.retry_seconds)
-        answer.seconds = time.monotonic() - started
-        return answer
-
-    async def _send_once(
-        self, task: Task, answer: CallerAnswer, started: float
-    ) -> None:
-        url = self._urls[answer.attempts % len(self._urls)]
-        path = task.kind.path or _GENERATION_PATH
-        answer.attempts += 1
-        answer.error = ''
+
+    def _request(
+        self, url: str, task: Task, answer: CallerAnswer
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        # Each attempt is a run of its own.
         answer.tokens.clear()
-        try:
-            async with self._session.request(
-                task.kind.method or 'POST',
-                f'{url}/{path}/{task.name}',
-                headers=self._headers(task),
-            ) as response:
-                answer.status = response.status
-                await _read(response, answer, started)
-        except (aiohttp.ClientError, TimeoutError) as error:
-            name = type(error).__name__
-            answer.error = f'cut_{name}'
-            answer.ran = 'unknown'
+        path = task.kind.path or _GENERATION_PATH
+        return self._session.request(
+            task.kind.method or 'POST',
+            f'{url}/{path}/{task.name}',
+            headers=self._headers(task),
+        )
+
+    async def _read(
+        self,
+        response: aiohttp.ClientResponse,
+        answer: CallerAnswer,
+        started: float,
+    ) -> None:
+        await _read(response, answer, started)
+
+    def _may_return(self, task: Task, answer: CallerAnswer) -> bool:
+        if answer.complete:
+            return False
+        return answer.ran == 'no' or task.kind.method == 'GET'
 
     def _headers(self, task: Task) -> dict[str, str]:
+        key = self._settings.key
         sent = {
             'Host': self._host,
-            'Authorization': f'Bearer {self._key}',
+            'Authorization': f'Bearer {key}',
             headers.ATTEMPT: token_hex(_NAME_BYTES),
             headers.DEADLINE: str(_PATIENCE_MS),
         }
@@ -180,12 +171,6 @@
     return f'{run}.{place}'
 
 
-def _may_return(task: Task, answer: CallerAnswer) -> bool:
-    if answer.complete:
-        return False
-    return answer.ran == 'no' or task.kind.method == 'GET'
-
-
 def main() -> None:
     """Run the load tool."""
     fire.Fire(PlatformLoad(), name='python -m primrosewood.platform.load')
--- a/primrosewood/watcher.py
+++ b/primrosewood/watcher.py
@@ -1,7 +1,7 @@
 """Follows a prefix of the key-value service."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from dataclasses import dataclass
 
 from .errors import HistoryLostError, StoreUnavailableError
@@ -49,8 +49,6 @@
         How often to poll.
     take
         Called with each change, repeats included; None for a deletion.
-    note_answered
-        Called after each poll, with whether the service answered.
     """
 
     def __init__(
@@ -59,12 +57,10 @@
         prefix: str,
         pace: WatchPace,
         take: Taker,
-        note_answered: Callable[[bool], None] | None = None,
     ) -> None:
         """Start without knowledge."""
         super().__init__(store, prefix, take)
         self._pace = pace
-        self._note_answered = note_answered or _ignore
 
     async def run(self, watch: bool = True) -> None:
         """Follow until cancelled.
@@ -96,9 +92,7 @@
             await reading
         except StoreUnavailableError as error:
             log_event('poll_failed', 'WARNING', why=error)
-            self._note_answered(False)
             return False
-        self._note_answered(True)
         return True
 
     async def _poll_once(self, polls: int) -> None:
@@ -126,7 +120,3 @@
         async for change in changes:
             self._newest = max(self._newest, change.revision)
             self._apply(change)
-
-
-def _ignore(_answered: bool) -> None:
-    """Do nothing with whether the service answered."""
