--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -248,6 +248,7 @@
             endpoint=backend.name,
             status=status,
             sends=progress.sends,
+            last_event=progress.order.last,
             seconds=seconds,
         )
 
--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -3,6 +3,7 @@
 from .directcalls import DirectCall
 from .enginepace import PROMPT_TOKENS_A_SECOND, TOKEN_SECONDS
 from .identity import digest_key
+from .logs import log_decision
 
 __all__ = ('StopWindow',)
 
@@ -10,6 +11,12 @@
 # time that is left would rather often be cut.
 _FILLED = 0.7
 
+# Why a call may begin during a stop, or may not.
+_PLAIN = 'plain'
+_ENDS_IN_TIME = 'ends_in_time'
+_CAME_BACK = 'came_back'
+_TOO_LONG = 'too_long'
+
 
 class StopWindow:
     """Decides which streams may begin while the process is being stopped.
@@ -54,15 +61,36 @@
         now
             Monotonic seconds.
         """
-        if self._ends_at is None or call.size is None:
+        if self._ends_at is None:
             return True
+        left = self._ends_at - now
+        why = self._judge(call, answer_tokens, left)
+        size = call.size
+        log_decision(
+            'judged_while_stopping',
+            request=call.name,
+            organisation=call.organisation,
+            admitted=why != _TOO_LONG,
+            why=why,
+            guess=answer_tokens,
+            hint=size.hint if size else None,
+            most=size.most_tokens if size else None,
+            prompt=size.prompt_tokens if size else None,
+            left=left,
+        )
+        return why != _TOO_LONG
+
+    def _judge(self, call: DirectCall, answer_tokens: int, left: float) -> str:
+        """Return why a call may begin, or that it may not."""
+        if call.size is None:
+            return _PLAIN
         seconds = answer_tokens * TOKEN_SECONDS
         seconds += call.size.prompt_tokens / PROMPT_TOKENS_A_SECOND
-        if seconds <= (self._ends_at - now) * _FILLED:
-            return True
+        if seconds <= left * _FILLED:
+            return _ENDS_IN_TIME
         # A caller that comes back does so under another name.
         asked = digest_key(call.target, call.organisation, call.body.hex())
         if asked in self._refused:
-            return True
+            return _CAME_BACK
         self._refused.add(asked)
-        return False
+        return _TOO_LONG
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -7,6 +7,8 @@
 
 import unittest
 
+from loguru import logger
+
 from primrosewood.directcalls import DirectCall, GenerationSize
 from primrosewood.routes import Route, RouteKind, Target
 from primrosewood.stopping import StopWindow
@@ -66,3 +68,24 @@
         self.assertTrue(self.window.admits(make_call('b'), 1500, 100.1))
         other = make_call('c', target='/y')
         self.assertFalse(self.window.admits(other, 1500, 100.2))
+
+    def test_each_decision_is_logged(self):
+        """Somebody asks why a stream was let in that the stop then cut.
+
+        The line has what decided: why, the guess and where it came from, the
+        most that the answer may hold, and the time that was left.
+        """
+        told = []
+        sink = logger.add(
+            lambda message: told.append(message.record['extra']['pairs'])
+        )
+        self.addCleanup(logger.remove, sink)
+        self.window.admits(make_call('a'), 1500, 99)
+        self.window.begin(100)
+        self.window.admits(make_call('b'), 1500, 102)
+        self.assertEqual(['b'], [pairs['request'] for pairs in told])
+        self.assertFalse(told[0]['admitted'])
+        self.assertEqual('too_long', told[0]['why'])
+        self.assertEqual(1500, told[0]['guess'])
+        self.assertEqual(2000, told[0]['most'])
+        self.assertEqual(6, told[0]['left'])
