--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -69,6 +69,31 @@
         other = make_call('c', target='/y')
         self.assertFalse(self.window.admits(other, 1500, 100.2))
 
+    def test_guess_late_in_the_stop(self):
+        """A caller guesses 93 tokens of 2,000 with 2.2 s left.
+
+        Half of all guesses are too short, some by far; the stream outlives
+        the process and its caller gets a part of a certificate.
+        """
+        self.window.begin(100)
+        self.assertFalse(self.window.admits(make_call(), 93, 105.8))
+
+    def test_answer_that_cannot_be_long_late_in_the_stop(self):
+        """A label of 40 tokens at most ends in 2.2 s however it is guessed."""
+        self.window.begin(100)
+        call = make_call(size=GenerationSize(2200, 40))
+        self.assertTrue(self.window.admits(call, 40, 105.8))
+
+    def test_caller_that_comes_back_late(self):
+        """The balancer sends a refused caller back with 2 s left.
+
+        A stream that is begun now is cut for certain, so that letting it in
+        only turns a refusal into half an answer.
+        """
+        self.window.begin(100)
+        self.assertFalse(self.window.admits(make_call('a'), 1500, 105.9))
+        self.assertFalse(self.window.admits(make_call('b'), 1500, 106))
+
     def test_each_decision_is_logged(self):
         """Somebody asks why a stream was let in that the stop then cut.
 
