--- a/primrosewood/httpserver.py
+++ b/primrosewood/httpserver.py
@@ -17,7 +17,8 @@
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-_CUT_SECONDS = 0.3
+# For answers that are being written when a server closes.
+_CUT_SECONDS = 0.1
 # Nothing of the request was read, so that the promise of this status holds.
 _HEAD_TIMEOUT = (
     b'HTTP/1.1 408 Request Timeout\r\n'
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -198,7 +198,10 @@
                 while self._front.active:
                     await asyncio.sleep(_TICK_SECONDS)
         except TimeoutError:
-            log_event('stopped_with_work_left', 'ERROR')
+            log_event(
+                'stopped_with_work_left', 'ERROR', active=self._front.active
+            )
+            self._front.end_calls()
 
     async def _close(
         self, tasks: list[asyncio.Task], runners: list[web.ServerRunner]
@@ -206,8 +209,7 @@
         for task in tasks:
             task.cancel()
         self._engines.stop()
-        for runner in runners:
-            await runner.cleanup()
+        await asyncio.gather(*(runner.cleanup() for runner in runners))
         await self._transport.close()
         await self._store.close()
 
--- a/primrosewood/platform/front.py
+++ b/primrosewood/platform/front.py
@@ -84,6 +84,10 @@
         finally:
             self._active -= 1
 
+    def end_calls(self) -> None:
+        """End what is in progress; the process ends now."""
+        self._relay.stop()
+
     async def _answer_or_refuse(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -15,7 +15,13 @@
     Resumption,
     Transport,
 )
-from .errors import BackendCutError, ErrorKind, NotRunError, WireError
+from .errors import (
+    BackendCutError,
+    ErrorKind,
+    NotRunError,
+    RequestFailedError,
+    WireError,
+)
 from .events import EventSplitter
 from .logs import log_decision
 from .metrics import Metrics
@@ -56,6 +62,8 @@
         """Take the tools."""
         self._tools = tools
         self._placement = tools.placement
+        self._timers: set[asyncio.Timeout] = set()
+        self._stopped = False
 
     async def answer(self, call: DirectCall, sink: AnswerSink) -> None:
         """Write a call's answer; it is whole when this returns.
@@ -68,18 +76,39 @@
         self._placement.note_arrival(call)
         progress = CallProgress(call)
         left = call.deadline - self._tools.clock.monotonic()
+        timer = asyncio.timeout(left + _DEADLINE_SLACK)
+        self._timers.add(timer)
         try:
-            async with asyncio.timeout(left + _DEADLINE_SLACK):
+            async with timer:
                 await self._answer(progress, sink)
         except TimeoutError as error:
-            raise self._placement.end(
-                progress, ErrorKind.deadline_exceeded
-            ) from error
+            raise self._end_in_time(progress) from error
+        finally:
+            self._timers.discard(timer)
+
+    def stop(self) -> None:
+        """End all calls in progress, as this process ends now.
+
+        A connection that just closes looks to its caller like a broken
+        network.  A call of which nothing was handed on ends in an error
+        instead, and the line of each tells how far it had come.
+        """
+        self._stopped = True
+        now = asyncio.get_running_loop().time()
+        for timer in self._timers:
+            if not timer.expired():
+                timer.reschedule(now)
 
     def guess_length(self, call: DirectCall) -> int:
         """Return the tokens that a call's answer is expected to have."""
         return self._placement.guess_length(call)
 
+    def _end_in_time(self, progress: CallProgress) -> RequestFailedError:
+        if self._stopped:
+            why = BackendCutError('this process stopped')
+            return self._placement.end(progress, ErrorKind.outcome_unknown, why)
+        return self._placement.end(progress, ErrorKind.deadline_exceeded)
+
     async def _answer(self, progress: CallProgress, sink: AnswerSink) -> None:
         if progress.call.size is None:
             await self._answer_whole(progress, sink)
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -4,8 +4,9 @@
 import contextlib
 
 import aiohttp
+from loguru import logger
 
-from .deployment import GUIDE, Deployment
+from .deployment import GUIDE, KEY, LIMITS, Deployment
 
 # The stop of these tests lasts 4 s; the balancer notices it after 2.6 s.
 _LATE_SECONDS = 3.0
@@ -69,3 +70,61 @@
             response = await self.ask(name, hint=1000)
             self.assertEqual(503, response.status)
         self.assertEqual(1, self.count_runs())
+
+
+class EndOfStopTest(Deployment):
+    """Calls that have no answer when the stop ends."""
+
+    async def ask_across_the_stop(self, path, headers):
+        asking = asyncio.create_task(
+            self.call('POST', path, headers=headers, data=b'asked')
+        )
+        await asyncio.sleep(0.3)
+        self.stop.set()
+        return (await asking)[0]
+
+    async def test_service_that_hangs(self):
+        """A reorder hangs at its service while its entry is restarted.
+
+        The entry waited for it to the end and closed the connection without
+        a word: the caller cannot tell that from a network that broke.
+        """
+        self.service.seconds = 30
+        response = await self.ask_across_the_stop('/issue/', KEY)
+        self.assertEqual(502, response.status)
+        self.assertEqual('close', response.headers['Connection'])
+
+    async def test_stream_that_has_not_begun(self):
+        """A guide waits for its first event when its entry ends."""
+        for engine in self.engines.values():
+            engine.pause = 30
+        response = await self.ask_across_the_stop('/guide/', GUIDE)
+        self.assertEqual(502, response.status)
+
+    async def test_process_ends_by_itself(self):
+        """A stream outlives the stop, and the platform kills what is left.
+
+        An entry that was still closing its connections then said nothing
+        of the streams it cut, so that nobody could explain them.
+        """
+        for engine in self.engines.values():
+            engine.events = 5000
+        reading = asyncio.create_task(
+            self.call('POST', '/guide/', headers=GUIDE)
+        )
+        await asyncio.sleep(0.3)
+        told = []
+        sink = logger.add(lambda message: told.append(message.record))
+        self.addCleanup(logger.remove, sink)
+        self.stop.set()
+        async with asyncio.timeout(LIMITS.stop_seconds):
+            await self.entry
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await reading
+        ends = [
+            record['extra']['pairs']
+            for record in told
+            if record['message'] == 'call_failed'
+        ]
+        self.assertEqual(['ab12'], [pairs['request'] for pairs in ends])
+        self.assertGreater(ends[0]['last_event'], 100)
