--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -106,9 +106,11 @@
 
     def _judge(self, call: DirectCall, answer_tokens: int, now: float) -> str:
         """Return why a call may begin, or that it may not."""
+        left = self._ends_at - now
         if not call.route.streaming:
-            return _PLAIN
-        left = (self._ends_at - now) * _FILLED
+            # Few calls take longer than their objective.
+            return _PLAIN if left >= call.route.objective else _TOO_LONG
+        left *= _FILLED
         if now >= self._noticed_at:
             ends = _greatest_seconds(call.size) <= left
             return _ENDS_IN_TIME if ends else _TOO_LONG
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -58,6 +58,17 @@
         call = make_call(size=None, route=PLAIN)
         self.assertTrue(self.window.admits(call, 0, 107))
 
+    def test_plain_call_in_the_last_moment(self):
+        """A reorder comes 0.3 s before its entry ends.
+
+        It has no answer by then and ends in an error that promises nothing,
+        so that nobody may send it again; a refusal lets its caller do so.
+        """
+        self.window.begin(100)
+        call = make_call(size=None, route=PLAIN)
+        self.assertFalse(self.window.admits(call, 0, 107.7))
+        self.assertFalse(self.window.admits(call, 0, 108.1))
+
     def test_stream_of_unknown_size(self):
         """A caller does not say how long its guide may become.
 
