--- a/primrosewood/httpserver.py
+++ b/primrosewood/httpserver.py
@@ -10,7 +10,13 @@
 from .logs import log_event
 from .metrics import Metrics
 
-__all__ = ('HttpLimits', 'listen', 'listen_metrics', 'split_address')
+__all__ = (
+    'HttpLimits',
+    'listen',
+    'listen_metrics',
+    'release_connections',
+    'split_address',
+)
 
 # For servers without operators' limits: readiness and metrics.
 _HEAD_SECONDS = 10.0
@@ -76,6 +82,16 @@
     return runner
 
 
+def release_connections(runner: web.ServerRunner) -> None:
+    """Close idle connections at once and the others after their answer.
+
+    A caller that keeps a connection open uses it again however long its
+    process has been leaving; a new one would bring it to a process that stays.
+    """
+    for connection in runner.server.connections:
+        connection.release()
+
+
 class _Server(web.Server):
     """Gives each connection a handler that times heads."""
 
@@ -115,18 +131,31 @@
         """Read on, and time what is still a part of a head."""
         super().data_received(data)
         # Bytes came and the handler waits for a request all the same.
-        incomplete = self._waiter is not None and not self._waiter.done()
-        if not incomplete:
+        if not self._waits():
             self._stop_timer()
         elif self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(self._head_seconds(), self._give_up)
 
+    def release(self) -> None:
+        """Close the connection unless a request is in it or on its way.
+
+        One that carried no request yet was opened for one that follows.
+        """
+        if not self._waits():
+            self.close()
+        elif self._keepalive and self._timer is None:
+            self.force_close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the timer with the connection."""
         self._stop_timer()
         super().connection_lost(exc)
 
+    def _waits(self) -> bool:
+        """Tell whether the handler waits for a request to be whole."""
+        return self._waiter is not None and not self._waiter.done()
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -12,7 +12,13 @@
 from ..codec import Message
 from ..engineview import EngineView
 from ..gen_node import NodeSettings
-from ..httpserver import HttpLimits, listen, listen_metrics, split_address
+from ..httpserver import (
+    HttpLimits,
+    listen,
+    listen_metrics,
+    release_connections,
+    split_address,
+)
 from ..identity import make_identifier
 from ..link import Link
 from ..logs import log_event
@@ -98,17 +104,18 @@
         """Serve until asked to stop, then end gracefully."""
         settings = self._settings
         self._watch_metrics()
+        callers = await listen(
+            self._front.handle,
+            settings.entry.callers,
+            HttpLimits(head_seconds=self._head_seconds),
+        )
         runners = [
+            callers,
             await listen(
                 partial(answer_ready, self._is_ready),
                 settings.entry.ready,
                 HttpLimits(),
             ),
-            await listen(
-                self._front.handle,
-                settings.entry.callers,
-                HttpLimits(head_seconds=self._head_seconds),
-            ),
         ]
         if settings.metrics_port:
             runners.append(
@@ -123,7 +130,7 @@
         async with self._peers.listen(*split_address(settings.entry.peers)):
             try:
                 await stop.wait()
-                await self._drain()
+                await self._drain(callers)
             finally:
                 await self._close(tasks, runners)
 
@@ -188,13 +195,14 @@
             self._beliefs.settle()
             self._engines.tick()
 
-    async def _drain(self) -> None:
+    async def _drain(self, callers: web.ServerRunner) -> None:
         """Serve on until the balancer has noticed and all are answered."""
         log_event('draining', active=self._front.active)
         self._stop.begin(self._clock.monotonic())
         try:
             async with asyncio.timeout(self._stop.seconds):
                 await asyncio.sleep(_NOTICED_SECONDS)
+                release_connections(callers)
                 while self._front.active:
                     await asyncio.sleep(_TICK_SECONDS)
         except TimeoutError:
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -128,3 +128,84 @@
         ]
         self.assertEqual(['ab12'], [pairs['request'] for pairs in ends])
         self.assertGreater(ends[0]['last_event'], 100)
+
+
+class KeptConnectionTest(Deployment):
+    """Connections that callers keep open while their entry is stopped."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for engine in self.engines.values():
+            engine.events = 150
+        # Keeps the entry from ending early.
+        self.reading = asyncio.create_task(
+            self.call('POST', '/guide/', name='ff00', headers=GUIDE)
+        )
+        await asyncio.sleep(0.3)
+
+    async def asyncTearDown(self):
+        self.assertEqual(200, (await self.reading)[0].status)
+
+    async def open(self):
+        host, _colon, port = self.callers.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def look_up(self, reader, writer, name):
+        writer.write(
+            b'GET /lookup/ HTTP/1.1\r\n'
+            b'Host: h.example\r\n'
+            b'Authorization: Bearer key-1\r\n'
+            b'Primrosewood-Attempt-Id: %b\r\n\r\n' % name
+        )
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.assertIn(b'200 OK', head)
+        await reader.readexactly(len(b'found'))
+        return head
+
+    async def test_idle_connection_ends_when_the_balancer_has_noticed(self):
+        """A caller keeps its connection and uses it again late in a stop.
+
+        The balancer sends new connections elsewhere, but this one stays here:
+        its certificate was refused for want of time, or cut, while other
+        entries could have served it.  Cause: idle connections were kept until
+        the process ended.
+        """
+        reader, writer = await self.open()
+        await self.look_up(reader, writer, b'ab12')
+        self.stop.set()
+        await asyncio.sleep(2)
+        self.assertFalse(reader.at_eof())
+        async with asyncio.timeout(1.2):
+            self.assertEqual(b'', await reader.read())
+        head = await self.look_up(*await self.open(), b'cd34')
+        self.assertIn(b'Connection: close', head)
+
+    async def test_answer_in_progress_is_whole(self):
+        """A connection whose answer began before the stop ends after it."""
+        reader, writer = await self.open()
+        self.service.seconds = 3
+        looking = asyncio.create_task(self.look_up(reader, writer, b'ab12'))
+        await asyncio.sleep(0.1)
+        self.stop.set()
+        await looking
+        async with asyncio.timeout(0.5):
+            self.assertEqual(b'', await reader.read())
+
+    async def test_head_on_its_way(self):
+        """Half a head is in when idle connections are closed."""
+        reader, writer = await self.open()
+        await self.look_up(reader, writer, b'ab12')
+        self.stop.set()
+        await asyncio.sleep(2.4)
+        writer.write(b'GET /lookup/ HTTP/1.1\r\n')
+        await asyncio.sleep(0.4)
+        writer.write(
+            b'Host: h.example\r\n'
+            b'Authorization: Bearer key-1\r\n'
+            b'Primrosewood-Attempt-Id: cd34\r\n\r\n'
+        )
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.assertIn(b'200 OK', head)
+        self.assertIn(b'Connection: close', head)
