--- a/primrosewood/httpserver.py
+++ b/primrosewood/httpserver.py
@@ -16,6 +16,7 @@
     'listen_metrics',
     'release_connections',
     'split_address',
+    'stop_listening',
 )
 
 # For servers without operators' limits: readiness and metrics.
@@ -92,6 +93,14 @@
         connection.release()
 
 
+async def stop_listening(runner: web.ServerRunner) -> None:
+    """Take no more connections; those that are open go on."""
+    for site in tuple(runner.sites):
+        await site.stop()
+    # Connections that were taken a moment ago begin to be read.
+    await asyncio.sleep(0)
+
+
 class _Server(web.Server):
     """Gives each connection a handler that times heads."""
 
@@ -115,7 +124,7 @@
     descriptors, and callers would find no free one.
     """
 
-    __slots__ = ('_head_seconds', '_timer')
+    __slots__ = ('_head_seconds', '_timer', '_used')
 
     def __init__(
         self,
@@ -126,10 +135,12 @@
         super().__init__(server, **options)
         self._head_seconds = head_seconds
         self._timer: asyncio.TimerHandle | None = None
+        self._used = False
 
     def data_received(self, data: bytes) -> None:
         """Read on, and time what is still a part of a head."""
         super().data_received(data)
+        self._used = True
         # Bytes came and the handler waits for a request all the same.
         if not self._waits():
             self._stop_timer()
@@ -144,7 +155,7 @@
         """
         if not self._waits():
             self.close()
-        elif self._keepalive and self._timer is None:
+        elif self._used and self._timer is None:
             self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -18,6 +18,7 @@
     listen_metrics,
     release_connections,
     split_address,
+    stop_listening,
 )
 from ..identity import make_identifier
 from ..link import Link
@@ -203,17 +204,23 @@
             async with asyncio.timeout(self._stop.seconds):
                 await asyncio.sleep(_NOTICED_SECONDS)
                 release_connections(callers)
-                while self._front.active:
-                    await asyncio.sleep(_TICK_SECONDS)
+                await self._wait_answered()
+                await stop_listening(callers)
+                # What was read before that is answered like the rest.
+                await self._wait_answered()
         except TimeoutError:
             log_event(
                 'stopped_with_work_left', 'ERROR', active=self._front.active
             )
-            self._front.end_calls()
+
+    async def _wait_answered(self) -> None:
+        while self._front.active:
+            await asyncio.sleep(_TICK_SECONDS)
 
     async def _close(
         self, tasks: list[asyncio.Task], runners: list[web.ServerRunner]
     ) -> None:
+        self._front.end_calls()
         for task in tasks:
             task.cancel()
         self._engines.stop()
--- a/primrosewood/platform/front.py
+++ b/primrosewood/platform/front.py
@@ -85,7 +85,12 @@
             self._active -= 1
 
     def end_calls(self) -> None:
-        """End what is in progress; the process ends now."""
+        """End what is in progress and refuse what still comes.
+
+        The process ends now.  Whoever was read and gets no word cannot tell
+        whether to ask again.
+        """
+        self.stop.end(self._clock.monotonic())
         self._relay.stop()
 
     async def _answer_or_refuse(
--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -73,6 +73,10 @@
         self._noticed_at = now + self._noticed_seconds
         self._ends_at = now + self.seconds
 
+    def end(self, now: float) -> None:
+        """Note that the process ends now; nothing may begin any more."""
+        self._ends_at = now
+
     def admits(self, call: DirectCall, answer_tokens: int, now: float) -> bool:
         """Tell whether a call may begin.
 
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import aiohttp
 from loguru import logger
 
+from primrosewood.httpserver import stop_listening
+from primrosewood.platform import entry
+from primrosewood.platform.entry import EntryNode
+
 from .deployment import GUIDE, KEY, LIMITS, Deployment
 
 # The stop of these tests lasts 4 s; the balancer notices it after 2.6 s.
@@ -209,3 +214,62 @@
         head = await reader.readuntil(b'\r\n\r\n')
         self.assertIn(b'200 OK', head)
         self.assertIn(b'Connection: close', head)
+
+
+class LastRequestTest(Deployment):
+    """A request that comes when nothing is left to do."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.service.seconds = 0.5
+        host, _colon, port = self.callers.rpartition(':')
+        self.reader, self.writer = await asyncio.open_connection(
+            host, int(port)
+        )
+        self.addCleanup(self.writer.close)
+
+    async def send(self):
+        self.writer.write(
+            b'GET /lookup/ HTTP/1.1\r\n'
+            b'Host: h.example\r\n'
+            b'Authorization: Bearer key-1\r\n'
+            b'Primrosewood-Attempt-Id: ab12\r\n\r\n'
+        )
+        async with asyncio.timeout(1):
+            while not self.service.ran:
+                await asyncio.sleep(0.01)
+
+    async def read_head(self):
+        head = await self.reader.readuntil(b'\r\n\r\n')
+        await self.entry
+        return head
+
+    async def test_request_that_crosses_the_end(self):
+        """A look-up comes in the moment in which an idle entry ends its stop.
+
+        It was read and begun, and its connection closed 0.1 s later without
+        an answer.  Cause: the entry looked once whether anything was in
+        progress, and then closed with callers still let in.
+        """
+        close = EntryNode._close
+
+        async def cross(node, *others):
+            await self.send()
+            await close(node, *others)
+
+        with mock.patch.object(EntryNode, '_close', cross):
+            self.stop.set()
+            head = await self.read_head()
+        self.assertIn(b' 502 ', head)
+
+    async def test_request_before_the_listener_closes(self):
+        """The same a moment earlier: there is time, so it is answered."""
+
+        async def cross(runner):
+            await self.send()
+            await stop_listening(runner)
+
+        with mock.patch.object(entry, 'stop_listening', cross):
+            self.stop.set()
+            head = await self.read_head()
+        self.assertIn(b' 200 ', head)
