--- a/primrosewood/platform/front.py
+++ b/primrosewood/platform/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 from aiohttp import web
@@ -116,7 +117,9 @@
             raise RequestFailedError(
                 ErrorKind.leaving, retry_seconds=_LEAVING_RETURN
             )
-        writer = _AnswerWriter(request, self._close_after)
+        writer = _AnswerWriter(
+            request, self._close_after, partial(self._must_hold, call)
+        )
         try:
             await self._relay.answer(call, writer)
         except RequestFailedError:
@@ -194,26 +197,35 @@
         log_decision('caller_left', request=_name_of(request))
         self._metrics.count('callers_left')
 
+    def _must_hold(self, call: DirectCall) -> bool:
+        return self.stop.must_hold(call, self._clock.monotonic())
+
     def _close_after(self, response: web.StreamResponse) -> None:
         if self.stop.begun:
             response.force_close()
 
 
 class _AnswerWriter:
-    """Writes one answer to its caller."""
+    """Writes one answer to its caller.
+
+    Where the answer must be held, it is kept until it is whole.
+    """
 
     def __init__(
         self,
         request: web.BaseRequest,
         close_after: Callable[[web.StreamResponse], None],
+        must_hold: Callable[[], bool],
     ) -> None:
         self._request = request
         self._close_after = close_after
+        self._must_hold = must_hold
         self._response: web.StreamResponse | None = None
+        self._held: list[bytes] = []
 
     @property
     def begun(self) -> bool:
-        return self._response is not None
+        return self._response is not None and self._response.prepared
 
     async def begin(self, head: AnswerHead) -> None:
         response = web.StreamResponse(
@@ -222,11 +234,14 @@
         if head.length is not None:
             response.content_length = head.length
         self._close_after(response)
-        await response.prepare(self._request)
         self._response = response
+        if not self._must_hold():
+            await response.prepare(self._request)
 
     async def write(self, body: bytes) -> None:
-        if body:
+        if not self.begun:
+            self._held.append(body)
+        elif body:
             await self._response.write(body)
 
     def abort(self) -> None:
@@ -237,6 +252,9 @@
         raise ConnectionAbortedError
 
     async def end(self) -> web.StreamResponse:
+        if not self.begun:
+            await self._response.prepare(self._request)
+            await self._response.write(b''.join(self._held))
         await self._response.write_eof()
         return self._response
 
--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -108,6 +108,24 @@
         )
         return why != _TOO_LONG
 
+    def must_hold(self, call: DirectCall, now: float) -> bool:
+        """Tell whether a stream that begins now is handed on only when whole.
+
+        One that came late had room when it came; where it waited longer than
+        that for its first event, its end may be cut off.
+
+        Parameters
+        ----------
+        call
+            The call, whose first event has come.
+        now
+            Monotonic seconds.
+        """
+        if self._ends_at is None or call.size is None:
+            return False
+        late = call.arrived >= self._noticed_at
+        return late and _greatest_answer(call.size) > self._ends_at - now
+
     def _judge(self, call: DirectCall, answer_tokens: int, now: float) -> str:
         """Return why a call may begin, or that it may not."""
         left = self._ends_at - now
@@ -133,9 +151,13 @@
 
 
 def _greatest_seconds(size: GenerationSize | None) -> float:
+    return _prompt_seconds(size) + _greatest_answer(size)
+
+
+def _greatest_answer(size: GenerationSize | None) -> float:
     if size is None or not size.most_tokens:
         return math.inf
-    return _prompt_seconds(size) + size.most_tokens * _SLOW_TOKEN_SECONDS
+    return size.most_tokens * _SLOW_TOKEN_SECONDS
 
 
 def _prompt_seconds(size: GenerationSize | None) -> float:
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -76,6 +76,40 @@
             self.assertEqual(503, response.status)
         self.assertEqual(1, self.count_runs())
 
+    async def ask_label(self):
+        """Ask for a short answer whose first event comes 0.2 s before the end."""
+        for engine in self.engines.values():
+            engine.pause = 0.5
+        headers = {**GUIDE, 'Primrosewood-Token-Usage': '1000,20'}
+        asking = asyncio.create_task(
+            self.call('POST', '/guide/', name='ab12', headers=headers)
+        )
+        await self.wait_for(self.has_run_two)
+        return asking
+
+    async def has_run_two(self):
+        return self.count_runs() == 2
+
+    async def test_short_answer_that_begins_in_the_last_moment(self):
+        """A label waits for its engine and begins as its entry's stop ends.
+
+        Even a short answer must not be begun when it may not end: its caller
+        gets an error in place of a part.
+        """
+        asking = await self.ask_label()
+        response, _body = await asking
+        self.assertEqual(502, response.status)
+
+    async def test_short_answer_that_ends_in_the_last_moment(self):
+        """The same, and its engine is quick: the answer is whole."""
+        asking = await self.ask_label()
+        for engine in self.engines.values():
+            engine.events = 5
+            engine.pause = 0.01
+        response, body = await asking
+        self.assertEqual(200, response.status)
+        self.assertEqual(5, body.count(b'data:'))
+
 
 class EndOfStopTest(Deployment):
     """Calls that have no answer when the stop ends."""
