--- a/primrosewood/logstory.py
+++ b/primrosewood/logstory.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .loglines import OUTCOMES, LogLine
+from .loglines import OUTCOMES, STOPPED, LogLine
 
 __all__ = ('Story', 'tell_story')
 
@@ -182,6 +182,8 @@
         return f'answered with status {status}'
     if last.event == 'caller_left':
         return 'the caller closed its connection before it was answered'
+    if last.read('why') == STOPPED:
+        return f'{last.process} ended its planned stop with it in progress'
     kind = last.read('kind')
     if kind == 'generation_lost':
         return f'broken off: {_why_lost(ordered, last, beliefs)}'
@@ -215,6 +217,15 @@
     return f'its engine left before it was moved{tried}'
 
 
+def _why_leaving(ordered: Sequence[LogLine], last: LogLine) -> str:
+    judged = [line for line in ordered if line.event == 'judged_while_stopping']
+    if not judged:
+        return f'{last.process} was being stopped'
+    why = judged[-1].read('why')
+    left = judged[-1].read('left')
+    return f'{last.process} was being stopped ({why}, {left} s left)'
+
+
 def _had_notice(beliefs: Sequence[LogLine], at: LogLine) -> bool:
     """Tell whether an engine had said before a line that it leaves."""
     said = [
@@ -232,6 +243,8 @@
     ends: Sequence[LogLine],
     beliefs: Sequence[LogLine],
 ) -> str:
+    if ends[-1].read('kind') == 'leaving':
+        return _why_leaving(ordered, ends[-1])
     failed = [line for line in ordered if line.event == 'send_failed']
     if failed:
         ran = 'may have run' if _is_doubtful(failed) else 'did not run'
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -23,6 +23,7 @@
     WireError,
 )
 from .events import EventSplitter
+from .loglines import STOPPED
 from .logs import log_decision
 from .metrics import Metrics
 from .moves import MoveNotice, NoticeBoard
@@ -105,7 +106,7 @@
 
     def _end_in_time(self, progress: CallProgress) -> RequestFailedError:
         if self._stopped:
-            why = BackendCutError('this process stopped')
+            why = BackendCutError(STOPPED)
             return self._placement.end(progress, ErrorKind.outcome_unknown, why)
         return self._placement.end(progress, ErrorKind.deadline_exceeded)
 
--- a/tests/test_logstory.py
+++ b/tests/test_logstory.py
@@ -184,6 +184,45 @@
             self.tell(restarted).verdict,
         )
 
+    def test_entry_that_was_stopped(self):
+        """A stream outlives its entry's stop, and another one is refused.
+
+        On-call must see at once that it was the stop, how much time was left
+        when it was let in, and why it was.
+        """
+        texts = [
+            line('entry', 1, 'draining', active=2),
+            line('entry', 2, 'judged_while_stopping', request='ab12', left=5.2),
+            line('entry', 2, 'sent', request='ab12', endpoint='i-1'),
+            line(
+                'entry',
+                3,
+                'judged_while_stopping',
+                request='cd34',
+                why='too_long',
+                left=2.2,
+            ),
+            line('entry', 3, 'refused', request='cd34', kind='leaving'),
+            line(
+                'entry',
+                8,
+                'call_failed',
+                request='ab12',
+                kind='generation_lost',
+                why='"this process stopped"',
+            ),
+        ]
+        self.assertEqual(
+            'entry ended its planned stop with it in progress',
+            self.tell(texts).verdict,
+        )
+        self.assertEqual('draining', self.tell(texts).beliefs[0].event)
+        self.assertEqual(
+            'refused as leaving: entry was being stopped '
+            '(too_long, 2.2 s left)',
+            self.tell(texts, 'cd34').verdict,
+        )
+
     def test_nothing_is_known(self):
         texts = ['no line at all', 'ts=never event=sent request=ab12', 'ts=']
         self.assertEqual('no line has this id', self.tell(texts).verdict)
