--- a/primrosewood/logstory.py
+++ b/primrosewood/logstory.py
@@ -182,8 +182,6 @@
         return f'answered with status {status}'
     if last.event == 'caller_left':
         return 'the caller closed its connection before it was answered'
-    if last.read('why') == STOPPED:
-        return f'{last.process} ended its planned stop with it in progress'
     kind = last.read('kind')
     if kind == 'generation_lost':
         return f'broken off: {_why_lost(ordered, last, beliefs)}'
@@ -205,6 +203,8 @@
 def _why_lost(
     ordered: Sequence[LogLine], last: LogLine, beliefs: Sequence[LogLine]
 ) -> str:
+    if last.read('why') == STOPPED:
+        return f'{last.process} ended its planned stop before the answer'
     stays = [line for line in ordered if line.event == 'not_moved']
     lost = stays or [line for line in beliefs if line.event == 'engine_lost']
     if not lost:
@@ -245,6 +245,8 @@
 ) -> str:
     if ends[-1].read('kind') == 'leaving':
         return _why_leaving(ordered, ends[-1])
+    if ends[0].read('why') == STOPPED:
+        return f'{ends[0].process} ended its planned stop, it may have run'
     failed = [line for line in ordered if line.event == 'send_failed']
     if failed:
         ran = 'may have run' if _is_doubtful(failed) else 'did not run'
--- a/tests/test_logstory.py
+++ b/tests/test_logstory.py
@@ -213,10 +213,20 @@
             ),
         ]
         self.assertEqual(
-            'entry ended its planned stop with it in progress',
+            'broken off: entry ended its planned stop before the answer',
             self.tell(texts).verdict,
         )
         self.assertEqual('draining', self.tell(texts).beliefs[0].event)
+        untold = [
+            *texts[:3],
+            texts[-1].replace('generation_lost', 'outcome_unknown'),
+            line('entry', 8, 'refused', request='ab12', kind='outcome_unknown'),
+        ]
+        self.assertEqual(
+            'refused as outcome_unknown: entry ended its planned stop, '
+            'it may have run',
+            self.tell(untold).verdict,
+        )
         self.assertEqual(
             'refused as leaving: entry was being stopped '
             '(too_long, 2.2 s left)',
