--- a/primrosewood/httpserver.py
+++ b/primrosewood/httpserver.py
@@ -84,7 +84,7 @@
 
 
 def release_connections(runner: web.ServerRunner) -> None:
-    """Close idle connections at once and the others after their answer.
+    """Close the connections that are idle now.
 
     A caller that keeps a connection open uses it again however long its
     process has been leaving; a new one would bring it to a process that stays.
@@ -149,13 +149,12 @@
             self._timer = loop.call_later(self._head_seconds(), self._give_up)
 
     def release(self) -> None:
-        """Close the connection unless a request is in it or on its way.
+        """Close the connection if it is idle.
 
-        One that carried no request yet was opened for one that follows.
+        Not if a request is in it or on its way: the rest of a body would be
+        lost.  One that carried no request yet was opened for one that follows.
         """
-        if not self._waits():
-            self.close()
-        elif self._used and self._timer is None:
+        if self._used and self._timer is None and self._waits():
             self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -203,19 +203,20 @@
         try:
             async with asyncio.timeout(self._stop.seconds):
                 await asyncio.sleep(_NOTICED_SECONDS)
-                release_connections(callers)
-                await self._wait_answered()
+                await self._wait_answered(callers)
                 await stop_listening(callers)
                 # What was read before that is answered like the rest.
-                await self._wait_answered()
+                await self._wait_answered(callers)
         except TimeoutError:
             log_event(
                 'stopped_with_work_left', 'ERROR', active=self._front.active
             )
 
-    async def _wait_answered(self) -> None:
+    async def _wait_answered(self, callers: web.ServerRunner) -> None:
+        release_connections(callers)
         while self._front.active:
             await asyncio.sleep(_TICK_SECONDS)
+            release_connections(callers)
 
     async def _close(
         self, tasks: list[asyncio.Task], runners: list[web.ServerRunner]
--- a/primrosewood/platform/front.py
+++ b/primrosewood/platform/front.py
@@ -18,6 +18,7 @@
 from ..relay import Relay
 from ..routes import Route, RouteTable, TableHolder, choose_target
 from ..stopping import StopWindow
+from ..timers import TimerGroup
 from . import headers
 
 __all__ = ('Front', 'answer_ready')
@@ -58,6 +59,7 @@
         self._random = random
         self._metrics = metrics
         self._active = 0
+        self._bodies = TimerGroup()
 
     @property
     def active(self) -> int:
@@ -92,6 +94,7 @@
         whether to ask again.
         """
         self.stop.end(self._clock.monotonic())
+        self._bodies.end()
         self._relay.stop()
 
     async def _answer_or_refuse(
@@ -111,14 +114,16 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
         call = await self._read_call(request, arrived)
+        # The body may have taken its time.
+        judged = self._clock.monotonic()
         if self.stop.begun and not self.stop.admits(
-            call, self._relay.guess_length(call), arrived
+            call, self._relay.guess_length(call), judged
         ):
             raise RequestFailedError(
                 ErrorKind.leaving, retry_seconds=_LEAVING_RETURN
             )
         writer = _AnswerWriter(
-            request, self._close_after, partial(self._must_hold, call)
+            request, self._close_after, partial(self._must_hold, call, judged)
         )
         try:
             await self._relay.answer(call, writer)
@@ -139,7 +144,7 @@
         name = headers.find_header(raw, headers.ATTEMPT)
         if not name or not _is_carried_unchanged(request.raw_path):
             raise RequestFailedError(ErrorKind.invalid_request)
-        body = await _read_body(request, table.limits.body_bytes)
+        body = await self._read_body(request, table.limits.body_bytes)
         # A configuration may have come while the body did; what is decided
         # now must not be older than what was decided a moment ago.
         table = self._tables.table
@@ -165,6 +170,18 @@
             size=headers.parse_size(raw) if route.streaming else None,
         )
 
+    async def _read_body(self, request: web.BaseRequest, most: int) -> bytes:
+        if not request.body_exists:
+            return b''
+        # The HTTP library says nothing of a body whose framing breaks
+        # halfway: it never ends.  One that is slow on purpose holds memory as
+        # long.
+        try:
+            async with self._bodies.limit(_BODY_SECONDS):
+                return await _join_body(request, most)
+        except TimeoutError as error:
+            raise RequestFailedError(ErrorKind.request_timeout) from error
+
     def _check_head(self, raw: list[Header], table: RouteTable) -> None:
         if _size_of(raw) > table.limits.header_bytes:
             raise RequestFailedError(ErrorKind.head_too_large)
@@ -197,8 +214,8 @@
         log_decision('caller_left', request=_name_of(request))
         self._metrics.count('callers_left')
 
-    def _must_hold(self, call: DirectCall) -> bool:
-        return self.stop.must_hold(call, self._clock.monotonic())
+    def _must_hold(self, call: DirectCall, judged: float) -> bool:
+        return self.stop.must_hold(call, judged, self._clock.monotonic())
 
     def _close_after(self, response: web.StreamResponse) -> None:
         if self.stop.begun:
@@ -291,18 +308,6 @@
     ]
 
 
-async def _read_body(request: web.BaseRequest, most: int) -> bytes:
-    if not request.body_exists:
-        return b''
-    # The HTTP library says nothing of a body whose framing breaks halfway: it
-    # never ends.  One that is slow on purpose holds memory as long.
-    try:
-        async with asyncio.timeout(_BODY_SECONDS):
-            return await _join_body(request, most)
-    except TimeoutError as error:
-        raise RequestFailedError(ErrorKind.request_timeout) from error
-
-
 async def _join_body(request: web.BaseRequest, most: int) -> bytes:
     parts = []
     size = 0
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -27,6 +27,7 @@
 from .logs import log_decision
 from .metrics import Metrics
 from .moves import MoveNotice, NoticeBoard
+from .timers import TimerGroup
 
 __all__ = ('Relay', 'RelayTools')
 
@@ -63,8 +64,7 @@
         """Take the tools."""
         self._tools = tools
         self._placement = tools.placement
-        self._timers: set[asyncio.Timeout] = set()
-        self._stopped = False
+        self._timers = TimerGroup()
 
     async def answer(self, call: DirectCall, sink: AnswerSink) -> None:
         """Write a call's answer; it is whole when this returns.
@@ -77,15 +77,11 @@
         self._placement.note_arrival(call)
         progress = CallProgress(call)
         left = call.deadline - self._tools.clock.monotonic()
-        timer = asyncio.timeout(left + _DEADLINE_SLACK)
-        self._timers.add(timer)
         try:
-            async with timer:
+            async with self._timers.limit(left + _DEADLINE_SLACK):
                 await self._answer(progress, sink)
         except TimeoutError as error:
             raise self._end_in_time(progress) from error
-        finally:
-            self._timers.discard(timer)
 
     def stop(self) -> None:
         """End all calls in progress, as this process ends now.
@@ -94,18 +90,14 @@
         network.  A call of which nothing was handed on ends in an error
         instead, and the line of each tells how far it had come.
         """
-        self._stopped = True
-        now = asyncio.get_running_loop().time()
-        for timer in self._timers:
-            if not timer.expired():
-                timer.reschedule(now)
+        self._timers.end()
 
     def guess_length(self, call: DirectCall) -> int:
         """Return the tokens that a call's answer is expected to have."""
         return self._placement.guess_length(call)
 
     def _end_in_time(self, progress: CallProgress) -> RequestFailedError:
-        if self._stopped:
+        if self._timers.ended:
             why = BackendCutError(STOPPED)
             return self._placement.end(progress, ErrorKind.outcome_unknown, why)
         return self._placement.end(progress, ErrorKind.deadline_exceeded)
--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -108,7 +108,7 @@
         )
         return why != _TOO_LONG
 
-    def must_hold(self, call: DirectCall, now: float) -> bool:
+    def must_hold(self, call: DirectCall, judged: float, now: float) -> bool:
         """Tell whether a stream that begins now is handed on only when whole.
 
         One that came late had room when it came; where it waited longer than
@@ -118,12 +118,12 @@
         ----------
         call
             The call, whose first event has come.
-        now
-            Monotonic seconds.
+        judged, now
+            Monotonic seconds: when it was let in, and now.
         """
         if self._ends_at is None or call.size is None:
             return False
-        late = call.arrived >= self._noticed_at
+        late = judged >= self._noticed_at
         return late and _greatest_answer(call.size) > self._ends_at - now
 
     def _judge(self, call: DirectCall, answer_tokens: int, now: float) -> str:
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -111,6 +111,43 @@
         self.assertEqual(5, body.count(b'data:'))
 
 
+class SlowBodyTest(Deployment):
+    """Requests that are still being sent during a stop."""
+
+    async def send(self, seconds):
+        async def send_body():
+            yield b'as'
+            await asyncio.sleep(seconds)
+            yield b'ked'
+
+        for engine in self.engines.values():
+            engine.events = 300
+        headers = {
+            **GUIDE,
+            'Primrosewood-Token-Usage': '1000,2000',
+            'Primrosewood-Length-Hint': '100',
+        }
+        self.stop.set()
+        await asyncio.sleep(2)
+        response, _body = await self.call(
+            'POST', '/guide/1', headers=headers, data=send_body()
+        )
+        return response.status
+
+    async def test_body_that_comes_late(self):
+        """A certificate's head comes early in a stop and its body late.
+
+        It was judged by the time of its head, when its answer would have
+        ended, and was cut.  Its connection is in use when idle ones close,
+        so that the rest of the body must still be read.
+        """
+        self.assertEqual(503, await self.send(seconds=1.4))
+
+    async def test_body_that_never_comes(self):
+        """The stop ends first: the caller hears that nothing ran."""
+        self.assertEqual(408, await self.send(seconds=5))
+
+
 class EndOfStopTest(Deployment):
     """Calls that have no answer when the stop ends."""
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -19,7 +19,7 @@
 SIZE = GenerationSize(3000, 2000)
 
 
-def make_call(name='a', size=SIZE, target='/x', route=ROUTE, arrived=0):
+def make_call(name='a', size=SIZE, target='/x', route=ROUTE):
     return DirectCall(
         name=name,
         method='POST',
@@ -29,7 +29,7 @@
         route=route,
         service='s',
         organisation='o',
-        arrived=arrived,
+        arrived=0,
         deadline=39,
         patience=39,
         size=size,
@@ -59,15 +59,14 @@
         0.72 s are what its 40 tokens may take; a stream from before is handed
         on as it comes, however little time is left.
         """
-        label = make_call(size=GenerationSize(2200, 40), arrived=105.8)
-        early = make_call(size=GenerationSize(2200, 40), arrived=99)
-        self.assertFalse(self.window.must_hold(early, 99.5))
+        label = make_call(size=GenerationSize(2200, 40))
+        self.assertFalse(self.window.must_hold(label, 99, 99.5))
         self.window.begin(100)
-        self.assertFalse(self.window.must_hold(label, 107.2))
-        self.assertTrue(self.window.must_hold(label, 107.4))
-        self.assertFalse(self.window.must_hold(early, 107.9))
-        plain = make_call(size=None, route=PLAIN, arrived=107)
-        self.assertFalse(self.window.must_hold(plain, 107.9))
+        self.assertFalse(self.window.must_hold(label, 105.8, 107.2))
+        self.assertTrue(self.window.must_hold(label, 105.8, 107.4))
+        self.assertFalse(self.window.must_hold(label, 99, 107.9))
+        plain = make_call(size=None, route=PLAIN)
+        self.assertFalse(self.window.must_hold(plain, 107, 107.9))
 
     def test_plain_calls(self):
         self.window.begin(100)
