--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -132,15 +132,21 @@
         self._room: asyncio.Future[list[MoveTarget]] | None = None
         self._done: set[str] = set()
         self._moving: asyncio.Task | None = None
+        self._ending = False
         self._engine_answers = asyncio.Event()
         self._named = asyncio.Event()
         self.server: PeerServer | None = None
         self.found: wire.EngineFound | None = None
 
+    @property
+    def moving(self) -> bool:
+        """Whether a generation is being moved."""
+        return self._moving is not None
+
     @property
     def needed(self) -> bool:
         """Whether there is an engine with something to move or to tell."""
-        if self._moving is not None:
+        if self.moving:
             return True
         return self._reading is not None and bool(self._reading.runs)
 
@@ -149,6 +155,16 @@
         """What entries were told last, None before the first report."""
         return self._told
 
+    def stop_moves(self) -> None:
+        """Stop no further generation, as this process ends.
+
+        One whose last part is being copied is waited for by who asks for
+        `moving`.  Any other runs on: cut here with nobody to tell where its
+        copy is, its stream would be lost, while the next process here may
+        still move it.
+        """
+        self._ending = True
+
     async def run(self) -> None:
         """Follow the engine until cancelled."""
         while True:
@@ -258,7 +274,8 @@
                 leaves_in=reading.leaves_in,
                 runs=len(reading.runs),
             )
-        if leaving and reading.runs and self._moving is None:
+        may_move = not self._ending and not self.moving
+        if leaving and reading.runs and may_move:
             self._moving = spawn(self._move_all(), 'moves')
 
     def _tell(self, reading: EngineReading, at_once: bool) -> None:
@@ -282,7 +299,7 @@
         """Move what runs here, one after another, until nothing is left."""
         targets: list[MoveTarget] = []
         try:
-            while self._reading is not None:
+            while self._reading is not None and not self._ending:
                 runs = self._left_to_move(self._reading.runs)
                 if not runs:
                     return
@@ -329,7 +346,7 @@
         """
         for _ in range(_MOST_TRIES):
             target = self._target(run, targets)
-            if target is None or self._reading is None:
+            if target is None or self._reading is None or self._ending:
                 break
             if await self._move_to(run, target):
                 return take_room(targets, target.address, run.tokens)
@@ -355,6 +372,8 @@
     async def _copy(self, run: EngineRun, target: str) -> str:
         started = self._clock.monotonic()
         await self._engine.copy(run, target, last=False)
+        if self._ending:
+            raise NotRunError(ErrorKind.leaving)
         handle = await self._engine.copy(run, target, last=True)
         self._metrics.record('move', self._clock.monotonic() - started)
         return handle
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -19,6 +19,8 @@
 
 # Left of the time until SIGKILL to close what is open.
 _CLOSE_SECONDS = 0.25
+# Of what is left, for the last part of one copy and the word of where it is.
+_LAST_MOVE_SECONDS = 0.5
 _TICK_SECONDS = 0.05
 # Entries hear of a new engine within this time while the key-value service,
 # where it would register, is away.
@@ -110,12 +112,22 @@
         once would leave the streams there to nobody.
         """
         seconds = self._stop_seconds - _CLOSE_SECONDS
+        try:
+            async with asyncio.timeout(seconds):
+                await self._await_end(seconds - _LAST_MOVE_SECONDS)
+        except TimeoutError:
+            log_event('stopped_in_a_move', 'ERROR')
+
+    async def _await_end(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
                 while self._keeper.needed:
                     await asyncio.sleep(_TICK_SECONDS)
         except TimeoutError:
             log_event('stopped_with_work_left', 'ERROR')
+        self._keeper.stop_moves()
+        while self._keeper.moving:
+            await asyncio.sleep(_TICK_SECONDS)
 
 
 def _ignore(_message: Message, _link: Link) -> None:
