--- a/standins/service.py
+++ b/standins/service.py
@@ -9,6 +9,7 @@
 from .serving import serve
 
 _CREATED = 201
+_LONGEST_BODY = 16_000_000
 
 
 class ServiceStandIn:
@@ -21,7 +22,7 @@
 
     def make_app(self) -> web.Application:
         """Return the application."""
-        app = web.Application()
+        app = web.Application(client_max_size=_LONGEST_BODY)
         app.router.add_post('/reorders', self._reorder)
         app.router.add_get('/stock/{item}', self._look_up)
         app.router.add_post('/faults', self._set_faults)
