--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import partial
+from http import HTTPStatus
 from pathlib import Path
 
 import aiohttp
@@ -146,7 +147,7 @@
             self.start_endpoint(name, domain, 'reorders')
         for number in range(1, entries + 1):
             self.start_entry(f'entry-{number}', 'abertawe')
-        await self.put_settings(TEAM, self.team_settings())
+        await self.wait_until(self._put_first_settings)
         everyone = [*engines, *(services or {})]
         await self.wait_usable(everyone)
 
@@ -305,6 +306,11 @@
         async with self.http.post(f'{self.url("platform")}/vms', json=states):
             return
 
+    async def _put_first_settings(self) -> bool:
+        # The key-value service may start long after the entry.
+        accepted = await self.put_settings(TEAM, self.team_settings())
+        return accepted['status'] == HTTPStatus.OK
+
     def _entries(self) -> list[str]:
         return [name for name in self.parts if name.startswith('entry-')]
 
