--- a/primrosewood/administration.py
+++ b/primrosewood/administration.py
@@ -39,7 +39,13 @@
 
 
 class AdministrationApi:
-    """Handlers of the administration port."""
+    """Handlers of the administration port.
+
+    Attributes
+    ----------
+    refusing
+        Whether new requests are refused, as the entry leaves.
+    """
 
     def __init__(
         self,
@@ -57,6 +63,13 @@
         self._fleet = fleet
         self._keys = keys
         self._limits = limits
+        self._active = 0
+        self.refusing = False
+
+    @property
+    def active(self) -> int:
+        """Requests that are being answered."""
+        return self._active
 
     def make_app(self) -> web.Application:
         """Return the application of the administration port."""
@@ -76,7 +89,10 @@
 
     @web.middleware
     async def _guard(self, request: web.Request, handler) -> Any:
+        self._active += 1
         try:
+            if self.refusing:
+                raise RequestFailedError(ErrorKind.leaving, retry_seconds=1)
             return await handler(request)
         except SettingsInvalidError as error:
             return _invalid(error)
@@ -85,6 +101,8 @@
         except Exception as error:
             log_failure(request.path, error)
             return error_response(RequestFailedError(ErrorKind.internal))
+        finally:
+            self._active -= 1
 
     async def _get(self, request: web.Request) -> web.Response:
         team = _team_of(request)
--- a/primrosewood/callers.py
+++ b/primrosewood/callers.py
@@ -1,5 +1,6 @@
 """Callers' HTTP: OpenAI-style completions, plain services, health."""
 
+import asyncio
 import math
 import time
 from contextlib import aclosing
@@ -34,7 +35,17 @@
 
 
 class CallerApi:
-    """Handlers of the callers' port."""
+    """Handlers of the callers' port.
+
+    Attributes
+    ----------
+    ready
+        Whether the balancer may send callers here.
+    leaving
+        Whether connections end with their answers, as the entry leaves.
+    refusing
+        Whether new requests are refused.
+    """
 
     def __init__(
         self,
@@ -53,7 +64,10 @@
         self._signing_key = signing_key
         self._metrics = metrics
         self._active = 0
+        self._unanswered: set[asyncio.Task] = set()
+        self._ending = False
         self.ready = False
+        self.leaving = False
         self.refusing = False
 
     @property
@@ -74,25 +88,62 @@
         app.router.add_get('/healthz', self._show_health)
         app.router.add_get('/readyz', self._show_ready)
         app.router.add_get('/metrics', self._show_metrics)
+        app.on_response_prepare.append(self._note_answer)
         return app
 
+    def end_unanswered(self) -> None:
+        """Answer now what has no part of an answer, as the entry ends.
+
+        A connection that just closed would tell its caller neither that the
+        request may have run nor whether to come back.  A stream that has begun
+        is cut instead: its caller reads on at another entry.
+        """
+        self._ending = True
+        for task in self._unanswered:
+            task.cancel()
+
+    async def _note_answer(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        self._unanswered.discard(asyncio.current_task())
+        if self.leaving:
+            # The balancer leaves open connections where they are: on this one
+            # the caller would come back to an entry that refuses.
+            response.force_close()
+            response.headers['Connection'] = 'close'
+
     @web.middleware
     async def _guard(self, request: web.Request, handler) -> Any:
         started = self._clock.monotonic()
+        task = asyncio.current_task()
         self._active += 1
+        self._unanswered.add(task)
+        try:
+            return await self._answer_or_refuse(request, handler)
+        except asyncio.CancelledError:
+            if not self._ending or task not in self._unanswered:
+                raise
+            task.uncancel()
+            return self._refuse(_end_unanswered(request))
+        finally:
+            self._active -= 1
+            self._unanswered.discard(task)
+            self._metrics.record('request', self._clock.monotonic() - started)
+
+    async def _answer_or_refuse(self, request: web.Request, handler) -> Any:
         try:
             return await handler(request)
         except RequestFailedError as error:
-            self._metrics.count('errors', error.kind.value)
-            return error_response(error)
+            return self._refuse(error)
         except web.HTTPException as error:
             return error_response(translate_error(error))
         except Exception as error:
             log_failure(request.path, error)
             return error_response(RequestFailedError(ErrorKind.internal))
-        finally:
-            self._active -= 1
-            self._metrics.record('request', self._clock.monotonic() - started)
+
+    def _refuse(self, error: RequestFailedError) -> web.Response:
+        self._metrics.count('errors', error.kind.value)
+        return error_response(error)
 
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         organisation = self._identify(request)
@@ -426,6 +477,14 @@
     return error
 
 
+def _end_unanswered(request: web.Request) -> RequestFailedError:
+    """Return the end of a request that an entry leaves without its answer."""
+    if _idempotency_key(request):
+        # Another entry gives the answer of the run that the key claimed.
+        return _refuse_unread(request, ErrorKind.leaving)
+    return RequestFailedError(ErrorKind.outcome_unknown)
+
+
 def _idempotency_key(request: web.Request) -> str:
     key = request.headers.get('Idempotency-Key', '')
     if len(key) > _LONGEST_KEY:
--- a/primrosewood/entry.py
+++ b/primrosewood/entry.py
@@ -31,6 +31,7 @@
 from .progress import Tools
 from .routing import make_policy
 from .settings import SETTINGS_PREFIX, SettingsStore
+from .unsent import has_unsent
 from .vmlist import HttpVmList
 from .watcher import Watcher, WatchPace
 
@@ -75,6 +76,7 @@
         )
         self._claims = self._make_claims()
         self._callers = self._make_callers()
+        self._administration = self._make_administration()
         self._server = LinkServer(
             self._store,
             config.keys.process_key,
@@ -99,11 +101,11 @@
                 self._callers.make_app(), entry.callers
             )
             administration = await self._listen(
-                self._make_administration(), entry.administration
+                self._administration.make_app(), entry.administration
             )
             self._callers.ready = True
             await stop.wait()
-            await self._drain()
+            await self._drain(callers, administration)
             await self._announcer.withdraw()
             for task in tasks:
                 task.cancel()
@@ -214,7 +216,7 @@
         self._metrics.watch('active', lambda: callers.active)
         return callers
 
-    def _make_administration(self) -> web.Application:
+    def _make_administration(self) -> AdministrationApi:
         return AdministrationApi(
             name=self._settings.name,
             editor=SettingsEditor(self._key_value, self._clock),
@@ -222,7 +224,7 @@
             fleet=self._fleet,
             keys=self._config.keys,
             limits=self._settings.limits,
-        ).make_app()
+        )
 
     async def _listen(
         self, app: web.Application, listen: Listen
@@ -259,21 +261,29 @@
             if self._fleet.forget_dead():
                 self._relink()
 
-    async def _drain(self) -> None:
+    async def _drain(self, *runners: web.AppRunner) -> None:
         timing = self._settings.timing
         log_event('draining', active=self._callers.active)
         self._callers.ready = False
+        self._callers.leaving = True
         await self._announcer.leave()
         # The balancer may send more until its next health check; these
         # requests are served like any other.
         await asyncio.sleep(timing.drain_seconds)
         self._callers.refusing = True
+        self._administration.refusing = True
         try:
             async with asyncio.timeout(timing.stop_seconds):
-                while self._callers.active:
+                while self._has_work(runners):
                     await asyncio.sleep(_STEP_SECONDS)
         except TimeoutError:
             log_event('stopped_with_work_left', 'ERROR')
+            self._callers.end_unanswered()
+
+    def _has_work(self, runners: tuple[web.AppRunner, ...]) -> bool:
+        if self._callers.active or self._administration.active:
+            return True
+        return any(has_unsent(runner) for runner in runners)
 
 
 def run(settings: str, check: bool = False) -> None:
