--- a/primrosewood/endpoint.py
+++ b/primrosewood/endpoint.py
@@ -27,6 +27,9 @@
 _TICK_SECONDS = 0.1
 _LOAD_SECONDS = 1.0
 _POLL_FACTOR = 6
+# What entries sent before they heard of the leave comes within a round trip
+# between regions, and the time that a busy entry takes to read.
+_NEWS_SECONDS = 0.5
 
 
 class EndpointProcess:
@@ -92,8 +95,7 @@
             tasks.append(spawn(self._read_load(), 'engine load'))
             announcing = spawn(self._announcer.run(), 'lease')
             await stop.wait()
-            announcing.cancel()
-            await self._leave()
+            await self._leave(announcing)
         for task in tasks:
             task.cancel()
         if runner is not None:
@@ -172,12 +174,14 @@
     async def _show_metrics(self, _request: web.Request) -> web.Response:
         return web.Response(body=self._metrics.expose())
 
-    async def _leave(self) -> None:
+    async def _leave(self, announcing: asyncio.Task) -> None:
         log_event('leaving')
         self._worker.leave()
         self._server.broadcast()
         await self._announcer.leave()
         await self._finish_work()
+        # Until now the record tells entries that start where streams run.
+        announcing.cancel()
         await self._announcer.withdraw()
         await self._server.close_links()
 
@@ -185,6 +189,9 @@
         deadline = self._settings.timing.stop_seconds
         try:
             async with asyncio.timeout(deadline):
+                # An offer that finds the link closed may have run, as far as
+                # its entry knows; here it is refused.
+                await asyncio.sleep(_NEWS_SECONDS)
                 while not self._worker.idle:
                     await asyncio.sleep(_TICK_SECONDS)
         except TimeoutError:
--- a/primrosewood/worker.py
+++ b/primrosewood/worker.py
@@ -150,7 +150,8 @@
     @property
     def idle(self) -> bool:
         """Whether every answer has been handed on."""
-        return not self._queued and self._retention.idle
+        asked = self._queued or self._parked
+        return not asked and self._retention.idle
 
     def handle(self, message: Message, link: Link) -> None:
         """Act on a message of an entry."""
