--- a/primrosewood/httpserver.py
+++ b/primrosewood/httpserver.py
@@ -154,7 +154,8 @@
         Not if a request is in it or on its way: the rest of a body would be
         lost.  One that carried no request yet was opened for one that follows.
         """
-        if self._used and self._timer is None and self._waits():
+        idle = self._used and self._timer is None and self._waits()
+        if idle and not self.transport.get_write_buffer_size():
             self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -33,6 +33,7 @@
 from ..shares import EntryCount, RepeatRule
 from ..stopping import StopWindow
 from ..storeview import StoreView
+from ..unsent import has_unsent
 from .beliefs import Beliefs
 from .engines import HttpTransport
 from .front import Front, answer_ready
@@ -214,7 +215,7 @@
 
     async def _wait_answered(self, callers: web.ServerRunner) -> None:
         release_connections(callers)
-        while self._front.active:
+        while self._front.active or has_unsent(callers):
             await asyncio.sleep(_TICK_SECONDS)
             release_connections(callers)
 
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -287,6 +287,24 @@
         self.assertIn(b'Connection: close', head)
 
 
+class SlowReaderTest(Deployment):
+    """An answer that its caller has yet to read."""
+
+    async def test_answer_that_waits_in_the_process(self):
+        """A caller reads slowly, and the rest of its answer is still here.
+
+        Its handler has returned, so that nothing counted as in progress; the
+        entry ended, and the rest of the answer with it.
+        """
+        with mock.patch.object(entry, 'has_unsent', return_value=True) as asked:
+            self.stop.set()
+            await asyncio.sleep(3.2)
+            self.assertFalse(self.entry.done())
+            asked.return_value = False
+            async with asyncio.timeout(0.5):
+                await self.entry
+
+
 class LastRequestTest(Deployment):
     """A request that comes when nothing is left to do."""
 
