--- a/primrosewood/platform/front.py
+++ b/primrosewood/platform/front.py
@@ -27,9 +27,8 @@
 _SECONDS_TO_RETURN = 0.5
 # For a body of the largest size that operators allow, 4 MB, over a slow line.
 _BODY_SECONDS = 10.0
-# A stream that begins after the stop was announced and is likely to outlive
-# it is better begun at another entry.
-_LEAVING_RETURN = 0.05
+# Callers wait as they are told up to this share of the time they have left.
+_HEEDED_SHARE = 1 / 3
 
 
 class Front:
@@ -119,8 +118,10 @@
         if self.stop.begun and not self.stop.admits(
             call, self._relay.guess_length(call), judged
         ):
+            heeded = (call.patience - judged) * _HEEDED_SHARE
             raise RequestFailedError(
-                ErrorKind.leaving, retry_seconds=_LEAVING_RETURN
+                ErrorKind.leaving,
+                retry_seconds=min(self.stop.return_seconds(judged), heeded),
             )
         writer = _AnswerWriter(
             request, self._close_after, partial(self._must_hold, call, judged)
--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -14,6 +14,11 @@
 _FILLED = 0.7
 # A token where prompts are read beside it, or the engine has just started.
 _SLOW_TOKEN_SECONDS = 2 * TOKEN_SECONDS
+# To another entry, which may be ready.
+_RETURN_SECONDS = 0.05
+# From the end of a process until the platform has started it again and the
+# balancer has seen that it is ready.
+_RESTART_SECONDS = 1.5
 
 # Why a call may begin during a stop, or may not.
 _PLAIN = 'plain'
@@ -108,6 +113,17 @@
         )
         return why != _TOO_LONG
 
+    def return_seconds(self, now: float) -> float:
+        """Return when a caller that is refused should come back.
+
+        Early, another entry may be ready, and the answer still be on time.
+        Late, callers come here because the balancer has hardly any other: one
+        that came straight back would be refused again, for good.
+        """
+        if now < self._noticed_at:
+            return _RETURN_SECONDS
+        return max(0, self._ends_at - now) + _RESTART_SECONDS
+
     def must_hold(self, call: DirectCall, judged: float, now: float) -> bool:
         """Tell whether a stream that begins now is handed on only when whole.
 
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -74,6 +74,10 @@
         for name in ('ab12', 'cd34'):
             response = await self.ask(name, hint=1000)
             self.assertEqual(503, response.status)
+            # No later than a third of the 4 s that the caller waits, the
+            # longest that it heeds.
+            wait = float(response.headers['Retry-After'])
+            self.assertAlmostEqual(4 / 3, wait, delta=0.05)
         self.assertEqual(1, self.count_runs())
 
     async def ask_label(self):
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -136,6 +136,18 @@
         self.assertFalse(self.window.admits(make_call('a'), 1500, 105.9))
         self.assertFalse(self.window.admits(make_call('b'), 1500, 106))
 
+    def test_when_to_come_back(self):
+        """All entries are restarted at once; a refused caller comes back once.
+
+        Early, others may be ready: at once.  Late, the balancer sends callers
+        here only for want of others, and 0.05 s later they met the same entry
+        and were refused for good: not before this one is back.
+        """
+        self.window.begin(100)
+        self.assertEqual(0.05, self.window.return_seconds(101))
+        self.assertAlmostEqual(3.7, self.window.return_seconds(105.8))
+        self.assertAlmostEqual(1.5, self.window.return_seconds(108.1))
+
     def test_each_decision_is_logged(self):
         """Somebody asks why a stream was let in that the stop then cut.
 
