--- a/primrosewood/administration.py
+++ b/primrosewood/administration.py
@@ -9,7 +9,6 @@
 import msgspec
 from aiohttp import web
 
-from .callers import error_response, translate_error
 from .changes import ChangeRequest, SettingsEditor
 from .documents import get_at, split_path
 from .errors import (
@@ -22,6 +21,7 @@
 from .fleet import Fleet
 from .gen_keys import Keys
 from .gen_process import Limits
+from .httperrors import error_response, translate_error
 from .identity import match_secret
 from .logs import log_event
 from .membership import EndpointView
--- a/primrosewood/callers.py
+++ b/primrosewood/callers.py
@@ -1,7 +1,6 @@
 """Callers' HTTP: OpenAI-style completions, plain services, health."""
 
 import asyncio
-import math
 import time
 from contextlib import aclosing
 from http import HTTPStatus
@@ -11,27 +10,27 @@
 from aiohttp import web
 
 from .answers import AnswerFormat, ChatFormat, CompletionFormat
+from .callerbodies import decode_body, pass_on, read_body, render_chat
 from .clock import Clock
 from .dispatch import Dispatcher
 from .errors import ErrorKind, Ran, RequestFailedError
-from .gen_caller import ChatMessage, ChatRequest, CompletionRequest
+from .eventwriter import EventWriter
+from .gen_caller import ChatRequest, CompletionRequest
 from .gen_process import Limits
+from .httperrors import error_response, translate_error
 from .logs import log_event
 from .metrics import Metrics
 from .process import log_failure
-from .requests import Ended, Pieces, Request, Restarted, Started, WholeReply
-from .resume import format_event_id, parse_event_id
+from .requests import Ended, Pieces, Request, Restarted, WholeReply
+from .resume import parse_event_id
 from .settings import Organisation, SettingsStore
 
-__all__ = ('CallerApi', 'error_response', 'translate_error')
+__all__ = ('CallerApi',)
 
 _BEARER = 'Bearer '
 _DEFAULT_MAX_TOKENS = 4096
 _LONGEST_KEY = 200
 _LONGEST_TIMEOUT = 86_400
-_NOT_PASSED_ON = frozenset(
-    ('model', 'prompt', 'messages', 'stream', 'stream_options', 'max_tokens')
-)
 
 
 class CallerApi:
@@ -147,9 +146,9 @@
 
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         organisation = self._identify(request)
-        body = await _read_body(request)
-        asked = _decode(body, ChatRequest)
-        prompt = _render_chat(asked.messages)
+        body = await read_body(request)
+        asked = decode_body(body, ChatRequest)
+        prompt = render_chat(asked.messages)
         longest = asked.max_completion_tokens or asked.max_tokens
         wanted = _Wanted(
             asked.model, prompt, longest or _DEFAULT_MAX_TOKENS, asked.stream
@@ -160,8 +159,8 @@
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         organisation = self._identify(request)
-        body = await _read_body(request)
-        asked = _decode(body, CompletionRequest)
+        body = await read_body(request)
+        asked = decode_body(body, CompletionRequest)
         wanted = _Wanted(
             asked.model, asked.prompt, asked.max_tokens, asked.stream
         )
@@ -186,7 +185,7 @@
             streamed=wanted.stream,
             prompt=wanted.prompt,
             max_tokens=wanted.max_tokens,
-            body=_passed_on(body),
+            body=pass_on(body),
             key=_idempotency_key(request),
         )
 
@@ -232,7 +231,7 @@
     async def _answer_stream(
         self, request: web.Request, events, answer: AnswerFormat, usage: bool
     ) -> web.StreamResponse:
-        writer = _StreamWriter(request, answer, usage)
+        writer = EventWriter(request, answer, usage)
         async with aclosing(events):
             try:
                 async for event in events:
@@ -260,7 +259,7 @@
             method=request.method,
             path=_backend_path(request),
             content_type=request.headers.get('Content-Type', ''),
-            body=await _read_body(request),
+            body=await read_body(request),
             key=_idempotency_key(request),
             repeatable=request.method in service.repeatable_methods,
         )
@@ -326,148 +325,6 @@
     stream: bool
 
 
-class _StreamWriter:
-    """Writes the events of one answer as server-sent events."""
-
-    def __init__(
-        self, request: web.Request, answer: AnswerFormat, usage: bool
-    ) -> None:
-        self._request = request
-        self._answer = answer
-        self._usage = usage
-        self._response: web.StreamResponse | None = None
-        self._signed = ''
-
-    @property
-    def begun(self) -> bool:
-        return self._response is not None
-
-    async def write_event(self, event) -> None:
-        match event:
-            case Pieces():
-                data = self._answer.chunk(''.join(event.pieces))
-                event_id = format_event_id(self._signed, event.offset)
-                await self._write(
-                    b'id: %b\ndata: %b\n\n' % (event_id.encode(), data)
-                )
-            case Started():
-                self._signed = event.signed
-                await self._begin()
-            case Ended():
-                await self._write_end(event)
-
-    async def write_error(self, error: RequestFailedError) -> None:
-        await self._write(b'data: %b\n\n' % _error_body(error))
-
-    async def end(self) -> web.StreamResponse:
-        if self._response is None:
-            raise RequestFailedError(ErrorKind.cancelled)
-        try:
-            await self._response.write_eof()
-        except ConnectionError:
-            log_event('caller_left', request=self._answer.name)
-        return self._response
-
-    async def _begin(self) -> None:
-        if self._response is not None:
-            return
-        response = web.StreamResponse()
-        response.content_type = 'text/event-stream'
-        response.headers['Cache-Control'] = 'no-store'
-        response.headers['X-Request-Id'] = self._answer.name
-        await response.prepare(self._request)
-        self._response = response
-
-    async def _write_end(self, event: Ended) -> None:
-        last = [self._answer.last_chunk(event)]
-        if self._usage:
-            last.append(self._answer.usage_chunk(event))
-        last.append(b'[DONE]')
-        await self._write(b''.join(b'data: %b\n\n' % data for data in last))
-
-    async def _write(self, data: bytes) -> None:
-        await self._response.write(data)
-
-
-def error_response(error: RequestFailedError) -> web.Response:
-    """Return the answer for an error, with when to come back."""
-    headers = {}
-    if error.answer.retry:
-        seconds = error.retry_seconds or 1
-        headers['Retry-After'] = str(max(1, math.ceil(seconds)))
-        headers['Retry-After-Ms'] = str(int(seconds * 1000))
-    return web.Response(
-        status=error.answer.status,
-        body=_error_body(error),
-        content_type='application/json',
-        headers=headers,
-    )
-
-
-def _error_body(error: RequestFailedError) -> bytes:
-    fields = {
-        'message': error.message,
-        'type': error.kind.value,
-        'code': error.kind.value,
-        'ran': error.ran.value,
-    }
-    if error.answer.retry:
-        fields['retry_after_seconds'] = round(error.retry_seconds or 1, 3)
-    return msgspec.json.encode({'error': fields})
-
-
-def translate_error(error: web.HTTPException) -> RequestFailedError:
-    """Return the error kind for one that the HTTP library raised."""
-    kinds = {
-        HTTPStatus.NOT_FOUND: ErrorKind.not_found,
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorKind.too_large,
-    }
-    kind = kinds.get(HTTPStatus(error.status), ErrorKind.invalid_request)
-    return RequestFailedError(kind, error.reason)
-
-
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        return await request.read()
-    except ValueError as error:
-        raise RequestFailedError(ErrorKind.invalid_request) from error
-
-
-def _decode(body: bytes, kind: type) -> Any:
-    # Some texts decode as JSON but cannot be written again: a lone half of a
-    # surrogate pair, for one, which UTF-8 has no bytes for.
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
-        raise RequestFailedError(
-            ErrorKind.invalid_request, str(error)
-        ) from error
-
-
-def _passed_on(body: bytes) -> bytes:
-    # Fields that are not read are not checked above; here they are.
-    fields = _decode(body, dict)
-    return msgspec.json.encode(
-        {
-            name: fields[name]
-            for name in sorted(fields)
-            if name not in _NOT_PASSED_ON
-        }
-    )
-
-
-def _render_chat(messages: list[ChatMessage]) -> str:
-    return '\n'.join(
-        f'{message.role}: {_text_of(message)}' for message in messages
-    )
-
-
-def _text_of(message: ChatMessage) -> str:
-    if isinstance(message.content, str):
-        return message.content
-    return ''.join(part.text for part in message.content)
-
-
 def _refuse_unread(request: web.Request, kind: ErrorKind) -> RequestFailedError:
     """Return a refusal that is given before any claim was read."""
     error = RequestFailedError(kind, retry_seconds=1)
