--- a/primrosewood/timers.py
+++ b/primrosewood/timers.py
@@ -22,14 +22,14 @@
 
     @asynccontextmanager
     async def limit(self, seconds: float) -> AsyncIterator[None]:
-        """Limit what is done inside.
+        """Limit what is done inside; it has no time once all were ended.
 
         Raises
         ------
         TimeoutError
             The time was over, or all were ended.
         """
-        timer = asyncio.timeout(seconds)
+        timer = asyncio.timeout(0 if self._ended else seconds)
         self._running.add(timer)
         try:
             async with timer:
