--- a/tests/processes/restarts/checks.py
+++ b/tests/processes/restarts/checks.py
@@ -97,7 +97,7 @@
         if life.code != 0 or took > STOP_SECONDS:
             self.faults.append(
                 f'{life.entry}: not ended by itself, code {life.code} after '
-                f'{took:.2f} s'
+                f'{took:.2f} s, {life.queued:.2f} s without a processor'
             )
         if life.since_stop(life.last_ready) > _STILL_READY_SECONDS:
             self.faults.append(f'{life.entry}: ready long after SIGTERM')
--- a/tests/processes/restarts/history.py
+++ b/tests/processes/restarts/history.py
@@ -28,7 +28,14 @@
 
 @dataclass(eq=False)
 class Life:
-    """An entry's process from start to end; times are monotonic seconds."""
+    """An entry's process from start to end; times are monotonic seconds.
+
+    Attributes
+    ----------
+    queued
+        Seconds of its stop in which it waited for a processor: the witness of
+        a machine that is too busy.
+    """
 
     entry: str
     ready_at: float | None = None
@@ -36,6 +43,7 @@
     stopped_at: float | None = None
     ended_at: float | None = None
     code: int | None = None
+    queued: float = 0
 
     def since_stop(self, moment):
         """Return the seconds from SIGTERM to a moment, below 0 before it."""
@@ -136,8 +144,15 @@
 
 @dataclass
 class History:
-    """All that was seen from outside."""
+    """All that was seen from outside.
+
+    Attributes
+    ----------
+    lag
+        Longest time for which callers and back ends stood still.
+    """
 
+    lag: float = 0
     lives: list[Life] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     runs: dict[str, list[Run]] = field(
@@ -149,7 +164,10 @@
         return self.runs.get(call.name, [])
 
     def summarize(self):
-        """Return how the stops and calls ended, calls late in a stop apart."""
+        """Return how the stops and calls ended, calls late in a stop apart.
+
+        After each stop stands how long it waited for a processor.
+        """
         ends = Counter()
         for call in self.calls:
             late = 'late ' if call.sent_late > NOTICED_SECONDS else ''
@@ -157,10 +175,11 @@
             end = call.status if call.end == End.whole else call.end.name
             ends[f'{late}{kept}{call.work.kind} {end}'] += 1
         stops = ' '.join(
-            f'{life.since_stop(life.ended_at):.2f}' for life in self.lives
+            f'{life.since_stop(life.ended_at):.2f}({life.queued:.2f})'
+            for life in self.lives
         )
         text = ', '.join(f'{end}: {ends[end]}' for end in sorted(ends))
-        return f'stops of {stops} s; {text}'
+        return f'stops of {stops} s; lag {self.lag:.2f} s; {text}'
 
     def most_stopping(self):
         """Return how many entries were stopping at the same moment."""
--- a/tests/processes/restarts/parts.py
+++ b/tests/processes/restarts/parts.py
@@ -7,6 +7,8 @@
 import asyncio
 import json
 import os
+import select
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -88,16 +90,8 @@
         return host, int(port)
 
     async def start(self):
-        self._file.write_text(json.dumps(self.settings))
-        with self._log.open('ab') as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *('-m', 'primrosewood.platform', 'entry'),
-                cwd=_ROOT,
-                env={**os.environ, 'PRIMROSEWOOD_NODE_FILE': str(self._file)},
-                stdout=log,
-                stderr=log,
-            )
+        # In a thread, as callers and back ends would stand still meanwhile.
+        self._process = await asyncio.to_thread(self._launch)
         self.life = Life(self.settings['name'])
         self._history.lives.append(self.life)
 
@@ -110,18 +104,41 @@
         """Stop it as the platform does, with SIGKILL at the end."""
         self.life.stopped_at = time.monotonic()
         self._process.terminate()
-        try:
-            async with asyncio.timeout(STOP_SECONDS):
-                await self._process.wait()
-        except TimeoutError:
-            self._process.kill()
-        self.life.code = await self._process.wait()
-        self.life.ended_at = time.monotonic()
+        await asyncio.to_thread(self._await_end, self.life)
 
     async def end(self):
-        if self._process is not None and self._process.returncode is None:
+        if self._process is not None:
             self._process.kill()
-            await self._process.wait()
+            self._process.wait()
+
+    def _launch(self):
+        self._file.write_text(json.dumps(self.settings))
+        with self._log.open('ab') as log:
+            return subprocess.Popen(
+                (sys.executable, '-m', 'primrosewood.platform', 'entry'),
+                cwd=_ROOT,
+                env={**os.environ, 'PRIMROSEWOOD_NODE_FILE': str(self._file)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def _await_end(self, life):
+        process = self._process
+        before = _seconds_in_queue(process.pid)
+        with os.fdopen(os.pidfd_open(process.pid)) as handle:
+            left = life.stopped_at + STOP_SECONDS - time.monotonic()
+            if not select.select([handle], [], [], left)[0]:
+                process.kill()
+                select.select([handle], [], [])
+        life.ended_at = time.monotonic()
+        life.queued = _seconds_in_queue(process.pid) - before
+        life.code = process.wait()
+
+
+def _seconds_in_queue(pid):
+    """Return how long a process has waited for a processor."""
+    fields = Path(f'/proc/{pid}/schedstat').read_text().split()
+    return int(fields[1]) / 1e9
 
 
 class Balancer:
--- a/tests/processes/test_platform_restarts.py
+++ b/tests/processes/test_platform_restarts.py
@@ -25,6 +25,7 @@
 import os
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from random import Random
@@ -108,6 +109,7 @@
             watches = [
                 asyncio.create_task(balancer.watch(entry)) for entry in entries
             ]
+            watches.append(asyncio.create_task(self.watch_lag(history)))
             for watch in watches:
                 stack.callback(watch.cancel)
             for entry in entries:
@@ -118,6 +120,12 @@
             await asyncio.sleep(1)
         return history
 
+    async def watch_lag(self, history):
+        while True:
+            due = time.monotonic() + 0.1
+            await asyncio.sleep(0.1)
+            history.lag = max(history.lag, time.monotonic() - due)
+
     async def start_platform(self, stack, history, seed, random):
         folder = os.environ.get('PRIMROSEWOOD_RESTART_LOGS')
         folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
