--- a/tests/processes/test_platform_restarts.py
+++ b/tests/processes/test_platform_restarts.py
@@ -34,7 +34,17 @@
 
 from .restarts.callers import Callers
 from .restarts.checks import REFUSED, Checks
-from .restarts.history import NOTICED_SECONDS, History
+from .restarts.history import (
+    ATTEMPT,
+    NOTICED_SECONDS,
+    SEAL,
+    Call,
+    End,
+    History,
+    Life,
+    Run,
+    Work,
+)
 from .restarts.parts import (
     Backend,
     Balancer,
@@ -50,6 +60,7 @@
 }
 
 _ENTRIES = 3
+_REFUSAL = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
 
 
 def make_table():
@@ -72,6 +83,106 @@
     }
 
 
+class ChecksTest(unittest.TestCase):
+    """Each check finds the fault that it is for, in a made-up history."""
+
+    def setUp(self):
+        self.life = Life('entry-0', stopped_at=100, ended_at=107.75, code=0)
+        self.life.ready_at = self.life.last_ready = 99
+        self.history = History(lives=[self.life])
+
+    def add(self, kind, sent, ended, end, answer=b'', runs=((0, 0),)):
+        """Add a call of size 3; times are in seconds after SIGTERM."""
+        call = Call('a-1', Work('a', kind, 3), self.life, 100 + sent)
+        call.finish(answer, end)
+        call.ended = 100 + ended
+        self.history.calls.append(call)
+        for began, finished in runs:
+            run = Run(call.name, 'i-1', 100 + began, 100 + finished)
+            self.history.runs['a-1'].append(run)
+
+    def assert_found(self, *wanted):
+        faults = Checks(self.history).run()
+        found = [fault.partition(':')[0] for fault in faults]
+        self.assertEqual([*wanted], found)
+
+    def test_plain_call_lost(self):
+        self.add('write', 7.6, 7.75, End.cut, runs=[(7.6, 7.75)])
+        self.assert_found('lost')
+
+    def test_no_answer(self):
+        self.add('read', -9, 11, End.silent)
+        self.assert_found('lost')
+
+    def test_stream_begun_late_and_cut(self):
+        self.add('stream', 3.1, 7.75, End.cut, runs=[(3.1, 7.75)])
+        self.assert_found('lost')
+
+    def test_stream_cut_after_its_engine_was_done(self):
+        self.add('stream', 1, 7.75, End.cut, runs=[(1, 6)])
+        self.assert_found('lost')
+
+    def test_long_stream_may_be_cut(self):
+        self.add('stream', 2, 7.75, End.cut, runs=[(2, 7.75)])
+        self.assert_found()
+
+    def test_ran_unread(self):
+        self.add('write', 7.6, 7.75, End.unread)
+        self.assert_found('ran, though it was not read')
+
+    def test_ran_though_refused(self):
+        self.add('write', 1, 1, End.whole, _REFUSAL)
+        self.assert_found('ran, though it was refused')
+
+    def test_refused_without_a_stop(self):
+        self.add('write', -1, -0.5, End.whole, _REFUSAL, runs=())
+        self.assert_found('503 without a reason')
+
+    def test_failed_early_in_a_stop(self):
+        failure = _REFUSAL.replace(b'503', b'502')
+        self.add('write', 1, 1, End.whole, failure)
+        self.assert_found('502 without a reason')
+
+    def test_ran_twice(self):
+        answer = _make_answer(b'a-1')
+        self.add('write', 1, 2, End.whole, answer, [(1, 2), (1, 2)])
+        self.assert_found('ran twice')
+
+    def test_body_of_another_call(self):
+        self.add('write', 1, 2, End.whole, _make_answer(b'b-1'))
+        self.assert_found('the body of another call')
+
+    def test_events(self):
+        """Whole; one missing, one twice, the last one missing."""
+        for numbers in ('123', '13', '1223', '12'):
+            events = ''.join(
+                f'id: {number}\ndata: a-1\n\n' for number in numbers
+            )
+            self.setUp()
+            answer = _make_answer(events.encode())
+            self.add('stream', 1, 2, End.whole, answer)
+            wrong = ['events missing or out of order']
+            self.assert_found(*wrong[numbers == '123' :])
+
+    def test_answer_shorter_than_its_length(self):
+        answer = _make_answer(b'a-1')[:-1]
+        self.add('write', 1, 2, End.whole, answer)
+        self.assert_found('lost')
+
+    def test_entry_killed(self):
+        self.life.ended_at, self.life.code = 108.01, -9
+        self.assert_found('entry-0')
+
+    def test_entry_ready_long_after_its_signal(self):
+        self.life.last_ready = 103
+        self.assert_found('entry-0')
+
+
+def _make_answer(body):
+    head = f'{SEAL}: s\r\n{ATTEMPT}: a-1\r\nContent-Length: {len(body)}'
+    return f'HTTP/1.1 200 OK\r\n{head}\r\n\r\n'.encode() + body
+
+
 class RestartsTest(unittest.IsolatedAsyncioTestCase):
     """Three entries restarted in turn, twice, under a seeded load."""
 
