--- a/tests/processes/restarts/parts.py
+++ b/tests/processes/restarts/parts.py
@@ -8,6 +8,7 @@
 import json
 import os
 import select
+import signal
 import subprocess
 import sys
 import time
@@ -128,7 +129,8 @@
         with os.fdopen(os.pidfd_open(process.pid)) as handle:
             left = life.stopped_at + STOP_SECONDS - time.monotonic()
             if not select.select([handle], [], [], left)[0]:
-                process.kill()
+                # Popen's own would reap one that ends just now.
+                signal.pidfd_send_signal(handle.fileno(), signal.SIGKILL)
                 select.select([handle], [], [])
         life.ended_at = time.monotonic()
         life.queued = _seconds_in_queue(process.pid) - before
