--- a/primrosewood/platform/store.py
+++ b/primrosewood/platform/store.py
@@ -25,7 +25,10 @@
 # reset answers never; the polls beside it cover the time until this is over.
 _WATCH_MS = 10_000
 _WATCH_SLACK_SECONDS = 2.0
-
+# An answer that keeps coming may take this many times as long as one may be
+# silent: a page of 1 MB takes 1.1 s on a line of 10 Mbit/s, and callers'
+# traffic has its share of that.
+_LONGEST_ANSWER = 5
 
 _UNANSWERED = (BackendCutError, aiohttp.ClientError, TimeoutError, OSError)
 
@@ -75,7 +78,7 @@
     address
         ``host:port``.
     timeout
-        Seconds after which a call counts as unanswered.
+        Seconds of silence after which a call counts as unanswered.
     """
 
     def __init__(self, address: str, timeout: float) -> None:
@@ -196,12 +199,16 @@
         json: Any = None,
         seconds: float = 0,
     ) -> tuple[int, bytes]:
+        patience = seconds or self._timeout
         try:
-            async with asyncio.timeout(seconds or self._timeout):
-                async with self._session().request(
+            async with (
+                asyncio.timeout(patience * _LONGEST_ANSWER),
+                asyncio.timeout(patience) as silence,
+                self._session().request(
                     method, f'{self._url}{path}', params=query, json=json
-                ) as response:
-                    return response.status, await response.read()
+                ) as response,
+            ):
+                return response.status, await _read(response, silence, patience)
         except _UNANSWERED as error:
             raise StoreUnavailableError(type(error).__name__) from error
 
@@ -214,6 +221,21 @@
         return self._lazy_session
 
 
+async def _read(
+    response: aiohttp.ClientResponse, silence: asyncio.Timeout, patience: float
+) -> bytes:
+    """Return a body; each part of it gives the next one as much time.
+
+    All routes of a large deployment take longer over a thin line than the
+    service may be silent.
+    """
+    parts = []
+    async for part in response.content.iter_any():
+        parts.append(part)
+        silence.reschedule(asyncio.get_running_loop().time() + patience)
+    return b''.join(parts)
+
+
 def _decode(status: int, body: bytes, kind: type) -> Any:
     _require_ok(status)
     try:
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,7 @@
 """Stand-in for the users' platform's key-value service, as HTTP calls.
 
 Faults are switched from outside: `down`, `silent`, `mute_watches`,
-`lose_writes` and `history_from`.
+`lose_writes`, `history_from`, `drip_seconds` and `stall`.
 """
 
 import asyncio
@@ -23,6 +23,8 @@
 _CONFLICT = 412
 _MISSING = 404
 _CALLS = '/kv-'
+# Of a body that comes slowly.
+_PIECES = 10
 
 
 @dataclass
@@ -41,6 +43,10 @@
         Writes are done and their answers lost.
     history_from
         Older changes have been dropped.
+    drip_seconds
+        An answer's body comes in pieces over this time.
+    stall
+        After half of such a body nothing more comes.
     """
 
     down: bool = False
@@ -48,6 +54,8 @@
     mute_watches: bool = False
     lose_writes: bool = False
     history_from: int = 0
+    drip_seconds: float = 0
+    stall: bool = False
 
 
 @dataclass
@@ -82,6 +90,26 @@
         response = await self._refuse() or response
         if self.faults.lose_writes and request.method == 'POST':
             request.transport.abort()
+        if self.faults.drip_seconds:
+            return await self._drip(request, response)
+        return response
+
+    async def _drip(
+        self, request: web.Request, whole: web.Response
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            status=whole.status, headers={'Content-Type': 'application/json'}
+        )
+        body = whole.body or b''
+        response.content_length = len(body)
+        await response.prepare(request)
+        for number in range(_PIECES):
+            if self.faults.stall and number == _PIECES // 2:
+                await asyncio.sleep(_FOREVER)
+            await asyncio.sleep(self.faults.drip_seconds / _PIECES)
+            first = len(body) * number // _PIECES
+            last = len(body) * (number + 1) // _PIECES
+            await response.write(body[first:last])
         return response
 
     async def _refuse(self) -> web.Response | None:
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -151,6 +151,46 @@
         with self.assertRaises(StoreUnavailableError):
             await self.store.list_all('')
 
+    async def test_long_answer_over_a_thin_line(self):
+        """The routes have grown to half a megabyte, the line has 10 Mbit/s.
+
+        The answer is coming all the time and takes longer than a service that
+        is silent may take. An entry that gave it up each time kept old routes,
+        and after a restart it knew no back end until the routes shrank.
+        """
+        await self.store.put('k', b'1')
+        self.stand_in.faults.drip_seconds = 1.0
+        listing = await self.store.list_all('')
+        self.assertEqual([b'1'], [pair.stored for pair in listing.pairs])
+
+    async def test_answer_that_stops_halfway(self):
+        """The line goes silent in the middle of an answer.
+
+        It is given up as soon as one that never begins.
+        """
+        await self.store.put('k', b'1')
+        self.stand_in.faults.drip_seconds = 0.5
+        self.stand_in.faults.stall = True
+        began = asyncio.get_running_loop().time()
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.list_all('')
+        took = asyncio.get_running_loop().time() - began
+        self.assertLess(took, 2.0)
+
+    async def test_answer_that_drips_without_end(self):
+        """Bytes keep coming far too slowly to be of use.
+
+        Nothing else is read on the side: an entry would live for minutes on
+        what it read last, and take its service for healthy.
+        """
+        await self.store.put('k', b'1')
+        self.stand_in.faults.drip_seconds = 4.0
+        began = asyncio.get_running_loop().time()
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.list_all('')
+        took = asyncio.get_running_loop().time() - began
+        self.assertLess(took, 3.5)
+
     async def test_dropped_history_is_told_apart(self):
         self.stand_in.faults.history_from = 10
         with self.assertRaises(HistoryLostError):
