--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -306,6 +306,19 @@
         async with self.http.post(f'{self.url("platform")}/vms', json=states):
             return
 
+    async def wait_answering(self, *names):
+        """Wait until back ends answer; endpoints are usable before that."""
+
+        async def answer():
+            try:
+                for name in names:
+                    await self.history(name)
+            except aiohttp.ClientConnectorError:
+                return False
+            return True
+
+        await self.wait_until(answer)
+
     async def _put_first_settings(self) -> bool:
         # The key-value service may start long after the entry.
         accepted = await self.put_settings(TEAM, self.team_settings())
--- a/tests/processes/test_endpoint_stop.py
+++ b/tests/processes/test_endpoint_stop.py
@@ -65,17 +65,9 @@
         await self.cluster.start(
             {'e1': 'abertawe'}, entries=2, services={'s1': 'abertawe'}
         )
-        await self.cluster.wait_until(self.are_back_ends_up)
+        await self.cluster.wait_answering('e1-engine', 's1-engine')
         self.entry = self.cluster.url('entry-1')
 
-    async def are_back_ends_up(self):
-        try:
-            await self.cluster.history('e1-engine')
-            await self.cluster.history('s1-engine')
-        except aiohttp.ClientConnectorError:
-            return False
-        return True
-
     @asynccontextmanager
     async def link(self, endpoint):
         file = self.cluster.folder / f'{endpoint}.json'
--- a/tests/processes/test_entry_stop.py
+++ b/tests/processes/test_entry_stop.py
@@ -30,18 +30,9 @@
         await self.cluster.start(
             {'e1': 'abertawe'}, entries=2, services={'s1': 'abertawe'}
         )
-        await self.cluster.wait_until(self.are_back_ends_up)
+        await self.cluster.wait_answering('e1-engine', 's1-engine')
         self.entry = self.cluster.url('entry-1')
 
-    async def are_back_ends_up(self):
-        # Their endpoints are usable before they listen.
-        try:
-            await self.cluster.history('e1-engine')
-            await self.cluster.history('s1-engine')
-        except aiohttp.ClientConnectorError:
-            return False
-        return True
-
     def complete(self, length, **options):
         return asyncio.create_task(
             complete(self.cluster.http, self.entry, length, **options)
