Wait for back ends before tests of real processes send requests

Three tests each failed once beside a load: mutated bodies (neither 200 nor 4xx), strangers on the link port (`no_endpoint`), a reorder twice (503, 503).

One cause, shown by trials with stand-ins that listen 4 s late, without any load: all three fail at once, with the very body (`max_toUens`), the kind (`no_endpoint`) and the statuses (503, 503) that were seen. An endpoint counts as usable before the back end beside it listens, so a busy machine that starts the stand-ins last refused the first request, truthfully and with a time to come back. Ruled out: a peer that falls silent under load (no such line is needed to bring it about), a body that the entry mishandles.

Change: the harness waits until every back end answers; its test starts them late and fails without the wait (200, 503).

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -253,8 +253,10 @@
     pace: float = 1.0,
     fencing: bool = True,
     step: float = 0.012,
+    late: float = 0,
 ) -> None:
-    """Serve until killed."""
+    """Serve until killed, from some seconds after the start on."""
+    time.sleep(late)
     shape = EngineShape(capacity=capacity, cold_tokens=cold_tokens, step=step)
     app = EngineStandIn(shape, pace, fencing).make_app()
     serve(app, port)
--- a/standins/service.py
+++ b/standins/service.py
@@ -70,8 +70,9 @@
         return web.json_response({'runs': self._runs})
 
 
-def main(port: int) -> None:
-    """Serve until killed."""
+def main(port: int, late: float = 0) -> None:
+    """Serve until killed, from some seconds after the start on."""
+    time.sleep(late)
     app = ServiceStandIn().make_app()
     serve(app, port)
 
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -121,6 +121,7 @@
         entries: int = 1,
         services: dict[str, str] | None = None,
         engine_flags: tuple[str, ...] = (),
+        service_flags: tuple[str, ...] = (),
     ) -> None:
         """Start everything.
 
@@ -130,8 +131,8 @@
             Names with their failure domains.
         entries
             How many entries.
-        engine_flags
-            Further flags of every engine stand-in.
+        engine_flags, service_flags
+            Further flags of every stand-in of that kind.
         """
         self.http = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=60),
@@ -143,13 +144,14 @@
             self.start_standin(f'{name}-engine', 'engine', *engine_flags)
             self.start_endpoint(name, domain, 'certdesk')
         for name, domain in (services or {}).items():
-            self.start_standin(f'{name}-engine', 'service')
+            self.start_standin(f'{name}-engine', 'service', *service_flags)
             self.start_endpoint(name, domain, 'reorders')
         for number in range(1, entries + 1):
             self.start_entry(f'entry-{number}', 'abertawe')
         await self.wait_until(self._put_first_settings)
         everyone = [*engines, *(services or {})]
         await self.wait_usable(everyone)
+        await self.wait_answering(*(f'{name}-engine' for name in everyone))
 
     def team_settings(self) -> dict:
         """Return the team's settings."""
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -54,3 +54,28 @@
         self.assertEqual(
             1, len((await self.cluster.history('s1-engine'))['runs'])
         )
+
+
+class LateBackEndsTest(unittest.IsolatedAsyncioTestCase):
+    """Back ends that listen after their endpoints are known."""
+
+    async def test_cluster_waits_for_back_ends(self):
+        """A busy machine starts the stand-ins last.
+
+        Requests of tests that began before were refused with 503.
+        """
+        cluster = Cluster()
+        self.addAsyncCleanup(cluster.stop)
+        late = ('--late=4',)
+        await cluster.start(
+            {'e1': 'abertawe'},
+            services={'s1': 'abertawe'},
+            engine_flags=late,
+            service_flags=late,
+        )
+        url = cluster.url('entry-1')
+        generated = await complete(cluster.http, url, 5)
+        ordered = await call_service(
+            cluster.http, url, 'POST', 'reorders/reorders', {'crates': 1}
+        )
+        self.assertEqual((200, 201), (generated.status, ordered.status))
