Read and tell only what changed in the key-value service

Cause: one reading every 0.4 to 0.6 s listed everything, every change was told whole to every entry, and an entry that asked got all of it from each other one. While the first reader's line carried the grown table the others' time came too, and all read it.

Ruled out: a watch that waits (silent without a sign when the service loses its history).

Change: readings ask for what changed; a large value is told as a difference to the version before, packed; whoever lacks that version reads by itself; an ask goes to three entries; a reading under way ends when its news have been told.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 from .policy_table import run_table
 from .slopes import run_slopes
 from .subsets import run_subsets
+from .table_change import run_table_change
 
 BROKEN = 1
 
@@ -33,6 +34,7 @@
         'claims': run_claims,
         'delays': run_delays,
         'slopes': run_slopes,
+        'table': run_table_change,
         'path': lambda: run_path(quick),
         'policy': lambda: run_table(quick),
     }
--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -44,6 +44,7 @@
         wire.EngineFound: 24,
         wire.PairsAsk: 25,
         wire.PairsTold: 26,
+        wire.CallPlaced: 27,
     }
 )
 _TYPES = MappingProxyType({code: kind for kind, code in _CODES.items()})
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -40,6 +40,9 @@
 # Between two tries to learn the engine's name.  Each is paid for.
 _NAME_SECONDS = 1.0
 _MOST_TRIES = 3
+# Entries that are asked for what another one lacks: each answers with all of
+# it, and one of them may itself be turned away.
+_MOST_ASKED = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,7 +187,7 @@
         elif isinstance(message, wire.RoomTold):
             self._take_room(message)
         elif isinstance(message, wire.PairsAsk):
-            self.server.broadcast(message, but=link)
+            self.server.send_to_some(message, _MOST_ASKED, but=link)
         elif isinstance(message, wire.PairsTold):
             self._pass_on(message, link)
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeAlias
 
-from msgspec import Meta, Struct, UnsetType
+from msgspec import Meta, Struct, UnsetType, field
 
 
 class Admitted(Struct, array_like=True):
@@ -13,6 +13,30 @@
     load: Load
 
 
+class CallPlaced(Struct, array_like=True):
+    """
+    An entry sends a generation to the engine beside the receiver now.
+    """
+
+    attempt: Annotated[str, Meta(description="The caller's name for the attempt.")]
+    """
+    The caller's name for the attempt.
+    """
+    unread_tokens: Annotated[
+        int,
+        Meta(description='Of the prompt, as far as the engine has to read it.', ge=0),
+    ]
+    """
+    Of the prompt, as far as the engine has to read it.
+    """
+    whole_tokens: Annotated[
+        int, Meta(description='Of the prompt and the answer that is expected.', ge=0)
+    ]
+    """
+    Of the prompt and the answer that is expected.
+    """
+
+
 class Cancel(Struct, array_like=True):
     attempt: str
     at_once: (
@@ -74,6 +98,12 @@
     record: ClaimRecord | None
 
 
+CopyItem: TypeAlias = Annotated[int, Meta(ge=0)]
+
+
+Copy: TypeAlias = Annotated[list[CopyItem], Meta(max_length=3, min_length=3)]
+
+
 class Credit(Struct, array_like=True):
     """
     The receiver has handed on all tokens below the offset.
@@ -127,6 +157,35 @@
     """
     Entries that are connected to the sender.
     """
+    unread_tokens: (
+        Annotated[
+            int, Meta(description='Prompts that are being read or wait to be.', ge=0)
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Prompts that are being read or wait to be.
+    """
+    generating: (
+        Annotated[int, Meta(description='Generations that have made an event.', ge=0)]
+        | UnsetType
+    ) = 0
+    """
+    Generations that have made an event.
+    """
+    token_micros: (
+        Annotated[
+            int,
+            Meta(
+                description='Microseconds a token took lately; 0 when nothing ran.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Microseconds a token took lately; 0 when nothing ran.
+    """
 
 
 class EngineRoom(Struct, array_like=True):
@@ -378,9 +437,44 @@
     key: str
     revision: Annotated[int, Meta(ge=0)]
     deleted: bool
-    stored: Annotated[bytes, Meta(description='Empty when deleted.')]
+    stored: Annotated[
+        bytes,
+        Meta(description='The value, or what a patch inserts; empty when deleted.'),
+    ]
+    """
+    The value, or what a patch inserts; empty when deleted.
+    """
+    base: (
+        Annotated[
+            int,
+            Meta(
+                description='Revision of the value that a patch applies to; 0 when the whole value is told.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Revision of the value that a patch applies to; 0 when the whole value is told.
+    """
+    packed: (
+        Annotated[bool, Meta(description='The stored bytes are compressed.')]
+        | UnsetType
+    ) = False
+    """
+    The stored bytes are compressed.
+    """
+    copies: (
+        Annotated[
+            list[Copy],
+            Meta(
+                description='Rows of a patch: bytes taken from the inserted ones, then start and length of what is copied from the base.'
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
     """
-    Empty when deleted.
+    Rows of a patch: bytes taken from the inserted ones, then start and length of what is copied from the base.
     """
 
 
--- a/primrosewood/kv.py
+++ b/primrosewood/kv.py
@@ -6,8 +6,17 @@
 from dataclasses import dataclass
 
 from .clock import Clock, SystemClock
+from .errors import HistoryLostError
 
-__all__ = ('Change', 'KeyValue', 'Listing', 'MemoryKeyValue', 'Pair', 'Swap')
+__all__ = (
+    'Change',
+    'Changes',
+    'KeyValue',
+    'Listing',
+    'MemoryKeyValue',
+    'Pair',
+    'Swap',
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +71,20 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed below a prefix.
+
+    Attributes
+    ----------
+    revision
+        Of the service, up to which these are all changes.
+    """
+
+    changes: list[Change]
+    revision: int
+
+
 class KeyValue(ABC):
     """Compare-and-swap, leases and watches.
 
@@ -81,6 +104,16 @@
     async def list_all(self, prefix: str) -> Listing:
         """Return all pairs below a prefix."""
 
+    async def list_changes(self, prefix: str, known: int) -> Changes:
+        """Return at once what changed below a prefix after a revision.
+
+        Raises
+        ------
+        HistoryLostError
+            The service has no such list, or none back to that revision.
+        """
+        raise HistoryLostError('the service lists no changes')
+
     @abstractmethod
     async def swap(
         self, key: str, stored: bytes, expected: int, lease: int = 0
@@ -157,6 +190,16 @@
         revision = self._revision
         return Listing(await self.list_pairs(prefix), revision)
 
+    async def list_changes(self, prefix: str, known: int) -> Changes:
+        """Return what changed below a prefix after a revision."""
+        self.expire_leases()
+        changes = [
+            change
+            for change in self._log
+            if change.revision > known and change.key.startswith(prefix)
+        ]
+        return Changes(changes, self._revision)
+
     async def swap(
         self, key: str, stored: bytes, expected: int, lease: int = 0
     ) -> Swap:
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -193,6 +193,15 @@
             if link is not but:
                 link.send(message)
 
+    def send_to_some(
+        self, message: Message, most: int, but: Link | None = None
+    ) -> None:
+        """Send a message to a few peers, others each time."""
+        chosen = [link for link in self._links if link is not but][:most]
+        for link in chosen:
+            link.send(message)
+            self._links[link] = self._links.pop(link)
+
     def send_to(self, peer: str, message: Message) -> None:
         """Send a message to the peer of a name, if it is connected."""
         for link, name in self._links.items():
--- a/primrosewood/platform/store.py
+++ b/primrosewood/platform/store.py
@@ -16,7 +16,7 @@
     StoreUnavailableError,
 )
 from ..httpclient import never_repeat
-from ..kv import Change, KeyValue, Listing, Pair, Swap
+from ..kv import Change, Changes, KeyValue, Listing, Pair, Swap
 
 __all__ = ('PlatformStore',)
 
@@ -25,6 +25,8 @@
 # reset answers never; the polls beside it cover the time until this is over.
 _WATCH_MS = 10_000
 _WATCH_SLACK_SECONDS = 2.0
+# The shortest wait that the service knows: what changed is returned at once.
+_NO_WAIT_MS = 1
 # An answer that keeps coming may take this many times as long as one may be
 # silent: a page of 1 MB takes 1.1 s on a line of 10 Mbit/s, and callers'
 # traffic has its share of that.
@@ -120,6 +122,17 @@
                 return Listing(pairs, revision)
             query['after'] = page.items[-1].key
 
+    async def list_changes(self, prefix: str, known: int) -> Changes:
+        """Return at once what changed below a prefix after a revision."""
+        query = {
+            'path_prefix': prefix,
+            'after': str(known),
+            'wait_ms': str(_NO_WAIT_MS),
+        }
+        seen = _decode_events(await self._call('GET', '/kv-watch', query))
+        changes = [_to_change(event) for event in seen.events]
+        return Changes(changes, seen.store_revision)
+
     async def swap(
         self, key: str, stored: bytes, expected: int, lease: int = 0
     ) -> Swap:
@@ -170,12 +183,10 @@
         }
         patience = _WATCH_MS / _MILLISECONDS + _WATCH_SLACK_SECONDS
         while True:
-            status, body = await self._call(
+            answer = await self._call(
                 'GET', '/kv-watch', query, seconds=patience
             )
-            if status == HTTPStatus.GONE:
-                raise HistoryLostError('the history is gone')
-            seen = _decode(status, body, _Events)
+            seen = _decode_events(answer)
             for event in seen.events:
                 yield _to_change(event)
             query['after'] = str(seen.store_revision)
@@ -244,6 +255,13 @@
         raise StoreUnavailableError(str(error)) from error
 
 
+def _decode_events(answer: tuple[int, bytes]) -> _Events:
+    status, body = answer
+    if status == HTTPStatus.GONE:
+        raise HistoryLostError('the history is gone')
+    return _decode(status, body, _Events)
+
+
 def _require_ok(status: int) -> None:
     if status != HTTPStatus.OK:
         raise StoreUnavailableError(f'status {status}')
--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -18,10 +18,11 @@
 from . import gen_wire as wire
 from .clock import Clock, RandomSource
 from .codec import Message
-from .errors import StoreUnavailableError
+from .errors import StoreUnavailableError, WireError
 from .kv import Change, Pair
 from .link import Link
 from .logs import log_decision, log_event
+from .patches import apply_patch, make_patch, pack, unpack
 from .storeview import StoreView
 
 __all__ = ('SharedReader',)
@@ -35,6 +36,8 @@
 # A reading that fails while others read well is no outage.
 _LOST_SECONDS = 1.0
 _TO_ALL = ''
+# Smaller values are hardly worth packing.
+_PACKED_BYTES = 1024
 
 
 class SharedReader:
@@ -71,6 +74,7 @@
         self._note_answered = note_answered
         self._due_at = clock.monotonic()
         self._fresh_at = float('-inf')
+        self._reading: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Read whenever nobody else has, until cancelled."""
@@ -93,12 +97,18 @@
         known = self._view.newest
         began = self._clock.monotonic()
         try:
-            await self._view.list_all()
+            async with asyncio.timeout(None) as reading:
+                self._reading = reading
+                await self._view.read()
         except StoreUnavailableError as error:
             self._note_failure(error)
+        except TimeoutError:
+            log_event('reading_overtaken', 'DEBUG', newest=self._view.newest)
         else:
             self._note_fresh(began)
             self._send(self._news(_TO_ALL, known))
+        finally:
+            self._reading = None
 
     def _note_failure(self, error: StoreUnavailableError) -> None:
         now = self._clock.monotonic()
@@ -129,13 +139,42 @@
             asker=asker,
             since=since,
             newest=self._view.newest,
-            pairs=[_to_stored(change) for change in changes],
+            pairs=[self._to_stored(change, since) for change in changes],
         )
 
+    def _end_reading(self) -> None:
+        """Give up a reading that is under way, as it brings nothing new.
+
+        Over a thin line it may take seconds yet, which callers' bytes wait
+        for.
+        """
+        if self._reading is not None and not self._reading.expired():
+            self._reading.reschedule(asyncio.get_running_loop().time())
+
+    def _to_stored(self, change: Change, since: int) -> wire.StoredPair:
+        told = wire.StoredPair(
+            key=change.key,
+            revision=change.revision,
+            deleted=change.pair is None,
+            stored=change.pair.stored if change.pair else b'',
+        )
+        older = self._view.find_older(change.key)
+        # Whoever knows all up to a revision has the version that stood then.
+        if change.pair and older is not None and older.revision <= since:
+            patch = make_patch(older.stored, change.pair.stored)
+            told.base = older.revision
+            told.stored = patch.fresh
+            told.copies = [list(row) for row in patch.copies]
+        if len(told.stored) >= _PACKED_BYTES:
+            told.packed = True
+            told.stored = pack(told.stored)
+        return told
+
     def _take(self, told: wire.PairsTold) -> None:
         known = self._view.newest
-        changes = [_to_change(pair) for pair in told.pairs]
-        if told.since > known:
+        found = [self._to_change(pair) for pair in told.pairs]
+        changes = [change for change in found if change is not None]
+        if told.since > known or len(changes) < len(found):
             # Something was told in between that did not come here; what is
             # told now holds all the same, but does not make this complete.
             self._view.take_told(changes, known)
@@ -143,6 +182,7 @@
             return
         self._view.take_told(changes, told.newest)
         self._note_fresh(self._clock.monotonic())
+        self._end_reading()
         if told.asker == self._name:
             log_decision(
                 'changes_heard',
@@ -151,17 +191,26 @@
                 changes=len(changes),
             )
 
-
-def _to_stored(change: Change) -> wire.StoredPair:
-    pair = change.pair
-    return wire.StoredPair(
-        key=change.key,
-        revision=change.revision,
-        deleted=pair is None,
-        stored=pair.stored if pair else b'',
-    )
-
-
-def _to_change(told: wire.StoredPair) -> Change:
-    pair = Pair(told.key, told.stored, told.revision)
-    return Change(told.key, told.revision, None if told.deleted else pair)
+    def _to_change(self, told: wire.StoredPair) -> Change | None:
+        """Return what was told; None for what is of no use here."""
+        if told.deleted:
+            return Change(told.key, told.revision, None)
+        known = self._view.find(told.key)
+        if told.base and known is not None and known.revision >= told.revision:
+            return Change(known.key, known.revision, known)
+        try:
+            stored = _read_value(told, known)
+        except WireError as error:
+            log_event('value_refused', 'WARNING', key=told.key, why=error)
+            return None
+        pair = Pair(told.key, stored, told.revision)
+        return Change(told.key, told.revision, pair)
+
+
+def _read_value(told: wire.StoredPair, known: Pair | None) -> bytes:
+    fresh = unpack(told.stored) if told.packed else told.stored
+    if not told.base:
+        return fresh
+    if known is None or known.revision != told.base:
+        raise WireError('a patch of another version')
+    return apply_patch(known.stored, fresh, told.copies)
--- a/standins/store.py
+++ b/standins/store.py
@@ -141,14 +141,16 @@
         changes = self.store.watch(prefix, after + 1)
         try:
             async with asyncio.timeout(seconds):
-                change = await anext(changes)
+                await anext(changes)
                 while self.faults.mute_watches:
                     await asyncio.sleep(_FOREVER)
         except TimeoutError:
-            return self._answer({'events': []})
-        event = _to_event(change)
-        found = {'events': [event], 'store_revision': change.revision}
-        return web.json_response(found)
+            if self.faults.mute_watches:
+                return self._answer({'events': []})
+        # Also after a wait that was too short to see what stood there before.
+        seen = await self.store.list_changes(prefix, after)
+        events = [_to_event(change) for change in seen.changes]
+        return self._answer({'events': events})
 
     async def _write(self, request: web.Request) -> web.Response:
         body = await request.json()
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -39,6 +39,9 @@
             for answer in self.answers:
                 self.keeper.handle(answer, None)
 
+    def send_to_some(self, message, most, but=None):
+        self.broadcast(message)
+
     def moves(self):
         return [
             (each.attempt, each.target)
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -86,7 +86,35 @@
         self.assertEqual('l/6', change.key)
 
 
-class MemoryTest(_Cases, unittest.IsolatedAsyncioTestCase):
+class _ChangesCases:
+    """Cases for services that list what changed."""
+
+    async def test_lists_what_changed_after_a_revision(self):
+        await self.store.put('c/1', b'old')
+        known = (await self.store.list_all('c/')).revision
+        lease = await self.store.grant(30)
+        await self.store.put('c/2', b'new')
+        await self.store.put('other', b'x')
+        await self.store.put('c/3', b'x', lease)
+        await self.store.revoke(lease)
+        seen = await self.store.list_changes('c/', known)
+        last = {
+            each.key: each.pair and each.pair.stored for each in seen.changes
+        }
+        self.assertEqual({'c/2': b'new', 'c/3': None}, last)
+        self.assertGreaterEqual(seen.revision, seen.changes[-1].revision)
+
+    async def test_returns_at_once_when_nothing_changed(self):
+        """A reading that waited for a change would look like an outage."""
+        known = await self.store.put('c/1', b'1')
+        began = asyncio.get_running_loop().time()
+        seen = await self.store.list_changes('c/', known)
+        self.assertEqual([], seen.changes)
+        self.assertGreaterEqual(seen.revision, known)
+        self.assertLess(asyncio.get_running_loop().time() - began, 0.3)
+
+
+class MemoryTest(_Cases, _ChangesCases, unittest.IsolatedAsyncioTestCase):
     """In memory."""
 
     async def asyncSetUp(self):
@@ -132,7 +160,9 @@
         self.assertEqual('a0', end_of_prefix('a/'))
 
 
-class UsersPlatformTest(_ServedCases, unittest.IsolatedAsyncioTestCase):
+class UsersPlatformTest(
+    _ServedCases, _ChangesCases, unittest.IsolatedAsyncioTestCase
+):
     """Over the users' platform's calls, against the stand-in."""
 
     async def asyncSetUp(self):
@@ -196,6 +226,11 @@
         with self.assertRaises(HistoryLostError):
             await anext(self.store.watch('', 2))
 
+    async def test_dropped_history_ends_a_list_of_changes(self):
+        self.stand_in.faults.history_from = 10
+        with self.assertRaises(HistoryLostError):
+            await self.store.list_changes('', 2)
+
     async def test_write_whose_answer_is_lost(self):
         """The write is done, and its answer never comes.
 
--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -1,42 +1,51 @@
 """Entries that share their readings of the key-value service."""
 
 import asyncio
+import json
 import unittest
 from random import Random
 
 from primrosewood import gen_wire as wire
 from primrosewood.clock import SystemClock
+from primrosewood.codec import serialise_frame
 from primrosewood.errors import StoreUnavailableError
 from primrosewood.kv import MemoryKeyValue
+from primrosewood.patches import make_patch
 from primrosewood.sharedreader import SharedReader
 from primrosewood.storeview import StoreView
 
 
 class _Counted(MemoryKeyValue):
-    """Counts listings; turns readers away."""
+    """Counts readings; turns readers away."""
 
     def __init__(self):
         super().__init__()
-        self.listings = 0
+        self.readings = 0
         self.away = False
+        self.pause = 0.002
 
     async def list_all(self, prefix):
-        self.listings += 1
-        await asyncio.sleep(0.002)
+        await self._count()
+        return await super().list_all(prefix)
+
+    async def list_changes(self, prefix, known):
+        await self._count()
+        return await super().list_changes(prefix, known)
+
+    async def _count(self):
+        self.readings += 1
+        await asyncio.sleep(self.pause)
         if self.away:
             raise StoreUnavailableError('away')
-        return await super().list_all(prefix)
 
 
 class _TurnedAway(MemoryKeyValue):
     """What a process sees that the service turns away."""
 
-    def __init__(self):
-        super().__init__()
-        self.listings = 0
-
     async def list_all(self, prefix):
-        self.listings += 1
+        raise StoreUnavailableError('not you')
+
+    async def list_changes(self, prefix, known):
         raise StoreUnavailableError('not you')
 
 
@@ -47,6 +56,7 @@
         self.readers = {}
         self.cut = set()
         self.lose = 0
+        self.told = []
 
     def connect(self, name):
         return lambda message: self.send(name, message)
@@ -57,6 +67,8 @@
             return
         asker = getattr(message, 'asker', '')
         told = isinstance(message, wire.PairsTold)
+        if told:
+            self.told.append(message)
         for name, reader in self.readers.items():
             wanted = name == asker if told and asker else name != sender
             if wanted and not self.cut & {name, sender}:
@@ -119,11 +131,11 @@
             self.add(f'e{number}')
         await self.store.put('a', b'1')
         await self.wait_held({'a': b'1'})
-        self.store.listings = 0
+        self.store.readings = 0
         await asyncio.sleep(2)
         # One alone reads four to five times in two seconds.
-        self.assertLess(self.store.listings, 20)
-        self.assertGreaterEqual(self.store.listings, 3)
+        self.assertLess(self.store.readings, 20)
+        self.assertGreaterEqual(self.store.readings, 3)
 
     async def test_changes_and_deletions_reach_all(self):
         for number in range(5):
@@ -212,3 +224,83 @@
         self.store.away = False
         await self.wait_held({'a': b'2'}, seconds=1.0)
         self.assertTrue(all(notes[-1] for notes in self.answered.values()))
+
+    async def test_change_of_a_large_value_is_told_as_a_difference(self):
+        """One route of 1,900 changes, and a line carries 10 Mbit/s.
+
+        Told whole the routes took 2 to 4 s to reach an entry, longer than a
+        change may take to be in force.
+        """
+        self.add('e1')
+        self.add('e2')
+        await self.store.put('routes', make_routes(1900))
+        await self.wait_held({'routes': make_routes(1900)})
+        self.bus.told.clear()
+        await self.store.put('routes', make_routes(1901))
+        await self.wait_held({'routes': make_routes(1901)})
+        told = sum(len(serialise_frame([message])) for message in self.bus.told)
+        self.assertLess(told, len(make_routes(1900)) / 20)
+
+    async def test_difference_that_fits_nothing_here(self):
+        """An entry hears how a value changed whose version it has not got.
+
+        It must not take the difference for the value, nor believe that it
+        knows all.
+        """
+        self.add('e1', _TurnedAway())
+        before, after = make_routes(100), make_routes(101)
+        patch = make_patch(before, after)
+        told = wire.StoredPair(
+            key='routes',
+            revision=9,
+            deleted=False,
+            stored=patch.fresh,
+            base=5,
+            copies=[list(row) for row in patch.copies],
+        )
+        reader = self.bus.readers['e1']
+        reader.handle(wire.PairsTold('', 0, 9, [told]), None)
+        self.assertEqual({}, self.held['e1'])
+        whole = wire.StoredPair('routes', 5, False, before)
+        reader.handle(wire.PairsTold('', 0, 5, [whole]), None)
+        reader.handle(wire.PairsTold('', 5, 9, [told]), None)
+        self.assertEqual({'routes': after}, self.held['e1'])
+
+    async def test_entry_that_starts_late_is_told_whole_values(self):
+        """It asks with no knowledge: no difference is of use to it."""
+        self.add('e1')
+        await self.store.put('routes', make_routes(100))
+        await self.wait_held({'routes': make_routes(100)})
+        await self.store.put('routes', make_routes(101))
+        await self.wait_held({'routes': make_routes(101)})
+        self.add('e2', _TurnedAway())
+        await self.wait_held({'routes': make_routes(101)})
+
+    async def test_reading_over_a_thin_line_is_overtaken(self):
+        """All entries read the grown routes at once, some on thin lines.
+
+        One on a fast line is done first and tells; the others must not go on
+        for seconds with what they know by then.
+        """
+        slow = _Counted()
+        slow.pause = 30
+        await slow.put('a', b'1')
+        self.add('slow', slow)
+        await asyncio.sleep(0.05)
+        self.add('fast')
+        await self.store.put('a', b'1')
+        await self.wait_held({'a': b'1'})
+        slow.pause = 0.002
+        slow.readings = 0
+        async with asyncio.timeout(2):
+            while not slow.readings:
+                await asyncio.sleep(0.01)
+
+
+def make_routes(count):
+    """Return a table of routes; another count is another version."""
+    routes = [
+        {'name': f'route-{number}', 'path_prefix': f'/p{number}/'}
+        for number in range(count)
+    ]
+    return json.dumps({'version': count, 'routes': routes}).encode()
