Announce calls to engines' processes and choose by what is on its way there

Copies off leaving engines went where room had been a second before: 31 were refused.

Change: - an entry announces each generation to the process beside its engine, which tells all entries within 2 ms; reports carry the prompts that are unread and go out when a call comes, begins or ends, within 4 KB/s (news of a fuller engine may borrow); - the choice adds seconds: prompt and answer at learned paces, what is lost if the first event is late or memory runs short, the delay of generations there; - room is asked for each move, of three entries; targets that are alike are drawn; generations that will end by themselves are moved last; - a stream of a resumable route goes on by another generation after its last event (it was given up).

`take_room` and its test are gone with the list that it kept; that room is asked for each generation has a test in its place.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 from .claims_rate import run_claims
 from .costs import run_costs
 from .delays import run_delays
+from .herd import run_herd
 from .lines import Line
 from .path import run_path
 from .policy_table import run_table
@@ -35,6 +36,7 @@
         'delays': run_delays,
         'slopes': run_slopes,
         'table': run_table_change,
+        'herd': run_herd,
         'path': lambda: run_path(quick),
         'policy': lambda: run_table(quick),
     }
--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from .enginepace import TOKEN_SECONDS
 from .shares import ColdLimit, EntryCount
 
 __all__ = ('Backend', 'BackendRecord', 'BackendSet', 'EngineState')
@@ -74,6 +75,12 @@
         Memory that cannot be freed, and all of it.
     leaving
         Whether the engine is about to go.
+    unread_tokens
+        Prompts that are being read or wait to be.
+    generating
+        Generations that have made an event.
+    token_seconds
+        What a token took lately, 0 when nothing ran.
     """
 
     running: int = 0
@@ -81,6 +88,9 @@
     used_tokens: int = 0
     total_tokens: int = 0
     leaving: bool = False
+    unread_tokens: int = 0
+    generating: int = 0
+    token_seconds: float = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -142,6 +152,14 @@
         """
         return self.misdirected >= self.record.revision
 
+    @property
+    def unread_ahead(self) -> int:
+        """Tokens of prompts that are read before a new one."""
+        if self.state is None:
+            return self.unread_tokens
+        reported = self.state.unread_tokens + self.unreported_prompts
+        return max(self.unread_tokens, reported)
+
     def report_age(self, now: float) -> float | None:
         """Return seconds since the last report, None without one."""
         return None if self.state is None else now - self.state_at
@@ -326,6 +344,15 @@
             and backend.record.failure_domain not in self.evacuated
         ]
 
+    def token_seconds(self, service: str) -> float:
+        """Return what a token takes in the mean of a service's engines."""
+        found = [
+            backend.state.token_seconds
+            for backend in self.usable(service)
+            if backend.state is not None and backend.state.token_seconds
+        ]
+        return sum(found) / len(found) if found else TOKEN_SECONDS
+
     def is_cold(self, backend: Backend, now: float) -> bool:
         """Tell whether a back end is cold, or may be."""
         returned = self._returned.get(backend.record.failure_domain)
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -7,7 +7,7 @@
 from .backendset import Backend
 from .clock import RandomSource
 from .directcalls import Leg
-from .enginepace import PROMPT_TOKENS_A_SECOND
+from .enginepace import PROMPT_TOKENS_A_SECOND, TOKEN_SECONDS
 
 __all__ = (
     'Balancer',
@@ -27,13 +27,20 @@
 # Scores that differ by less are taken as equal and drawn by lot: entries that
 # read the same reports must not all pick the same back end.
 _EQUAL_SECONDS = 0.02
-# A generation beside another one slows each of its steps.
-_NEIGHBOUR_SECONDS = 0.02
-# Memory is what engines run out of first: beyond this share a generation may
-# preempt another one, which then is read again.
-_FULL_SHARE = 0.85
-_MEMORY_SECONDS = 0.3
-_PREEMPTION_SECONDS = 5.0
+# Steps that read part of a prompt take twice as long, for all generations on
+# that engine.
+_DELAYED_SHARE = 0.5
+# What an answer that is late or lost costs against the work on it.
+_LOSS_WEIGHT = 5
+# How steeply the chance of a late first event grows towards the objective.
+_LATE_POWER = 4
+# Memory is what engines run out of first: from this share on a generation may
+# preempt another one, which then is read again; it does at the other.
+_CROWDED_SHARE = 0.75
+_FULL_SHARE = 1.1
+# The more an engine holds, the more streams are cut when it leaves: copies of
+# some 40 in 100 of its memory fit into a notice.
+_LEAVE_RISK = 0.15
 # A plain service that works on as many calls as it has slots queues the next;
 # calls take about this long there.
 _SERVICE_SECONDS = 0.1
@@ -62,29 +69,37 @@
 
     Attributes
     ----------
-    answered
-        Whether any of the answer has come.
+    first_event_at
+        When the first event came in monotonic seconds, None before.
+    reads_prompt
+        Whether the back end reads a prompt for the call.
     """
 
     def __init__(self, leg: Leg, tokens: BookedTokens | None) -> None:
         """Count the call."""
         backend = leg.backend
         self.backend = backend
-        self.answered = False
+        self.first_event_at: float | None = None
         self._total = tokens.total if tokens else 0
         # The prompt of a moved generation need not be read again.
-        fresh = tokens is not None and leg.resumption is None
-        self._unread = tokens.prompt if fresh else 0
+        self.reads_prompt = tokens is not None and leg.resumption is None
+        self._unread = tokens.prompt if self.reads_prompt else 0
         backend.open_calls += 1
         backend.unread_tokens += self._unread
         backend.unreported_prompts += self._unread
         backend.open_tokens += self._total
         backend.unreported_tokens += self._total
 
-    def note_first_event(self) -> None:
-        """Note that the prompt has been read."""
-        self.answered = True
-        self._give_back_prompt()
+    @property
+    def answered(self) -> bool:
+        """Whether any of the answer has come."""
+        return self.first_event_at is not None
+
+    def note_event(self, now: float) -> None:
+        """Note an event; with the first one the prompt has been read."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+            self._give_back_prompt()
 
     def release(self) -> None:
         """Count the call no longer."""
@@ -109,15 +124,21 @@
         None for calls of plain services.
     memory_tokens
         Memory of one engine, for engines that have not reported.
-    mean_prompt
-        Tokens of a prompt in the mean, for those that are only counted.
+    objective
+        Seconds within which the first event is due.
+    reading_pace
+        Prompt tokens that the service's engines read in a second.
+    token_seconds
+        What a token takes in the mean, for engines that have not reported.
     """
 
     failure_domain: str
     now: float
     tokens: BookedTokens | None = None
     memory_tokens: int = 0
-    mean_prompt: float = 0
+    objective: float = 0
+    reading_pace: float = PROMPT_TOKENS_A_SECOND
+    token_seconds: float = TOKEN_SECONDS
 
 
 class Balancer(Protocol):
@@ -165,20 +186,32 @@
 
 
 def _engine_seconds(backend: Backend, placing: Placing) -> float:
-    unread = backend.unread_tokens
-    running = backend.open_calls
+    tokens = placing.tokens
     state = backend.state
+    token_seconds = placing.token_seconds
+    generating = backend.open_calls
     if state is not None:
-        reported = state.queued * placing.mean_prompt
-        unread = max(unread, reported + backend.unreported_prompts)
-        running = max(running, state.running)
-    memory = _memory_share(backend, placing)
-    return (
-        unread / PROMPT_TOKENS_A_SECOND
-        + running * _NEIGHBOUR_SECONDS
-        + memory * _MEMORY_SECONDS
-        + max(0, memory - _FULL_SHARE) * _PREEMPTION_SECONDS
-    )
+        token_seconds = state.token_seconds or token_seconds
+        generating = state.generating
+    first = (backend.unread_ahead + tokens.prompt) / placing.reading_pace
+    whole = first + tokens.answer * token_seconds
+    delayed = _DELAYED_SHARE * generating * tokens.prompt / placing.reading_pace
+    risk = _late_risk(first, placing.objective)
+    risk += _memory_risk(_memory_share(backend, placing))
+    return whole * (1 + _LOSS_WEIGHT * risk) + delayed
+
+
+def _late_risk(first: float, objective: float) -> float:
+    """Return the chance that the first event comes late."""
+    if not objective:
+        return 0
+    return (first / objective) ** _LATE_POWER
+
+
+def _memory_risk(share: float) -> float:
+    """Return the chance that the generation is preempted, or not moved."""
+    over = max(0, share - _CROWDED_SHARE) / (_FULL_SHARE - _CROWDED_SHARE)
+    return _LEAVE_RISK * share**2 + over**2
 
 
 def _memory_share(backend: Backend, placing: Placing) -> float:
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -13,6 +13,7 @@
 from .balancing import Balancer, BookedTokens, Booking, Placing
 from .clock import Clock, RandomSource
 from .directcalls import DirectCall, Leg
+from .enginepace import ReadingPace
 from .errors import (
     BackendCutError,
     ErrorKind,
@@ -38,8 +39,6 @@
 # Objectives without a sign of an answer, after which a call that is given up
 # counts against its back end; callers abandon a silent stream then.
 _SILENT_OBJECTIVES = 4
-# Share of the newest prompt in the mean of all: about the last twenty count.
-_PROMPT_WEIGHT = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,9 +58,20 @@
     cold_slack: float = 5
 
 
+def _ignore(_backend: Backend, _name: str, _unread: int, _whole: int) -> None:
+    """Announce nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementTools:
-    """What placement works with."""
+    """What placement works with.
+
+    Attributes
+    ----------
+    announce
+        Tells the process beside an engine which call is on its way there:
+        its name, and the tokens to be read and in all.
+    """
 
     rules: RelayRules
     tables: TableHolder
@@ -72,6 +82,7 @@
     clock: Clock
     metrics: Metrics
     lengths: LengthBook = field(default_factory=LengthBook)
+    announce: Callable[[Backend, str, int, int], None] = _ignore
 
 
 @dataclass(slots=True)
@@ -107,7 +118,7 @@
         self._tools = tools
         self._rules = tools.rules
         self._budgets: dict[str, RepeatBudget] = {}
-        self._mean_prompt = 0.0
+        self._reading: dict[str, ReadingPace] = {}
 
     def take_rules(self, rules: RelayRules) -> None:
         """Follow changed bounds from now on."""
@@ -118,9 +129,6 @@
     def note_arrival(self, call: DirectCall) -> None:
         """Count a caller's request."""
         self._budget(call.service).note_request(self._now())
-        if call.size is not None:
-            more = call.size.prompt_tokens - self._mean_prompt
-            self._mean_prompt += _PROMPT_WEIGHT * more
 
     def choose(self, progress: CallProgress) -> Backend:
         """Return the back end that gets a call.
@@ -220,7 +228,9 @@
         progress.sends += 1
         if leg.resumption is not None:
             self._budget(call.service).spend(now)
+        ahead = leg.backend.unread_ahead
         booking = Booking(leg, self._tokens(call))
+        self._announce(call, booking)
         try:
             yield booking
         except NotRunError as error:
@@ -234,6 +244,7 @@
             raise
         else:
             leg.backend.note_success()
+            self._note_reading(call, booking, ahead, now)
         finally:
             booking.release()
             self._tools.metrics.record('send', self._now() - now)
@@ -274,6 +285,14 @@
         """Return what a service's engines can do, None for plain ones."""
         return self._tools.tables.engine_traits(service)
 
+    def _announce(self, call: DirectCall, booking: Booking) -> None:
+        tokens = self._tokens(call)
+        if tokens is not None:
+            unread = tokens.prompt if booking.reads_prompt else 0
+            self._tools.announce(
+                booking.backend, call.name, unread, tokens.total
+            )
+
     def _note_refusal(self, backend: Backend, error: NotRunError) -> None:
         if isinstance(error, MisdirectedError):
             backend.note_misdirected()
@@ -314,9 +333,23 @@
             now=now,
             tokens=self._tokens(call),
             memory_tokens=traits.memory_tokens if traits else 0,
-            mean_prompt=self._mean_prompt,
+            objective=call.route.objective,
+            reading_pace=self._reading_pace(call.service).tokens_a_second,
+            token_seconds=self._tools.backends.token_seconds(call.service),
         )
 
+    def _reading_pace(self, service: str) -> ReadingPace:
+        return self._reading.setdefault(service, ReadingPace())
+
+    def _note_reading(
+        self, call: DirectCall, booking: Booking, ahead: int, sent: float
+    ) -> None:
+        if booking.first_event_at is None or not booking.reads_prompt:
+            return
+        tokens = ahead + call.size.prompt_tokens
+        seconds = booking.first_event_at - sent
+        self._reading_pace(call.service).observe(tokens, seconds)
+
     def _bears(self, backend: Backend, now: float) -> bool:
         """Tell whether a back end is warm, or its cold limit has room."""
         traits = self._tools.tables.traits(backend.record.service)
--- a/primrosewood/directcalls.py
+++ b/primrosewood/directcalls.py
@@ -124,10 +124,14 @@
     ----------
     resumption
         Where a moved generation goes on, None for a fresh one.
+    after_event
+        Last event that the caller got from another generation, after which
+        this one goes on; None for one from the beginning.
     """
 
     backend: Backend
     resumption: Resumption | None = None
+    after_event: int | None = None
 
 
 class BackendReply(Protocol):
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -6,14 +6,17 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from . import gen_wire as wire
 from .backendset import EngineState
-from .clock import Clock
+from .clock import Clock, RandomSource, make_random
 from .codec import Message
+from .enginepace import TokenPace
+from .enginereports import EngineReports
 from .errors import BackendCutError, ErrorKind, NotRunError
+from .expectedends import ExpectedEnds
 from .link import Link
 from .logs import log_decision, log_event
 from .metrics import Metrics
@@ -22,7 +25,6 @@
     MoveTarget,
     choose_target,
     plan_moves,
-    take_room,
 )
 from .peerlink import PeerServer
 from .process import spawn
@@ -32,10 +34,8 @@
 # A notice is 1.5 to 2.1 s; reading the report twenty times a second costs the
 # local process a fiftieth of a core and shows it within 0.05 s.
 _READ_SECONDS = 0.05
-# Reports go to every entry, over links between failure domains too, whose
-# bytes are dear: at most five a second when something changed, two otherwise.
-_TELL_SECONDS = 0.2
-_BEAT_SECONDS = 0.5
+# Calls that entries announce within this time are told together.
+_GATHER_SECONDS = 0.002
 _ROOM_SECONDS = 0.25
 # Between two tries to learn the engine's name.  Each is paid for.
 _NAME_SECONDS = 1.0
@@ -61,7 +61,7 @@
 
 
 # Told while the engine does not answer: it takes no new work.
-_GONE = EngineReading(EngineState(leaving=True))
+_GONE = EngineState(leaving=True)
 
 
 class MovableEngine(Protocol):
@@ -123,14 +123,18 @@
         place: KeeperPlace,
         clock: Clock,
         metrics: Metrics,
+        random: RandomSource | None = None,
     ) -> None:
         """Start without a report."""
         self._engine = engine
         self._place = place
         self._clock = clock
         self._metrics = metrics
-        self._told: wire.EngineReport | None = None
-        self._told_at = float('-inf')
+        self._reports = EngineReports()
+        self._pace = TokenPace()
+        self._ends = ExpectedEnds()
+        self._random = random or make_random()
+        self._gathering: asyncio.TimerHandle | None = None
         self._reading: EngineReading | None = None
         self._room: asyncio.Future[list[MoveTarget]] | None = None
         self._done: set[str] = set()
@@ -156,7 +160,7 @@
     @property
     def last_report(self) -> wire.EngineReport | None:
         """What entries were told last, None before the first report."""
-        return self._told
+        return self._reports.last
 
     def stop_moves(self) -> None:
         """Stop no further generation, as this process ends.
@@ -171,25 +175,29 @@
     async def run(self) -> None:
         """Follow the engine until cancelled."""
         while True:
+            began = self._clock.monotonic()
             try:
                 reading = await self._engine.read()
             except BackendCutError as error:
                 self._lose_engine(error)
             else:
-                self._take(reading)
+                self._take(reading, began)
             await asyncio.sleep(_READ_SECONDS)
 
     def handle(self, message: Message, link: Link) -> None:
         """Act on an entry's message."""
-        if isinstance(message, wire.EngineFound):
-            # One entry heard of an engine; the others hear it from here.
-            self.server.broadcast(message)
-        elif isinstance(message, wire.RoomTold):
-            self._take_room(message)
-        elif isinstance(message, wire.PairsAsk):
-            self.server.send_to_some(message, _MOST_ASKED, but=link)
-        elif isinstance(message, wire.PairsTold):
-            self._pass_on(message, link)
+        match message:
+            case wire.CallPlaced():
+                self._take_placed(message)
+            case wire.EngineFound():
+                # One entry heard of an engine; the others hear it from here.
+                self.server.broadcast(message)
+            case wire.RoomTold():
+                self._take_room(message)
+            case wire.PairsAsk():
+                self.server.send_to_some(message, _MOST_ASKED, but=link)
+            case wire.PairsTold():
+                self._pass_on(message, link)
 
     async def run_naming(self) -> None:
         """Learn the engine's name, for announcements, until cancelled.
@@ -259,10 +267,28 @@
         self.found = None
         self._engine_answers.clear()
         self._named.clear()
+        self._pace = TokenPace()
+        self._reports.take(_GONE, self._clock.monotonic())
         # Entries would take silence for the loss of this process.
-        self._tell(_GONE, at_once=False)
+        self._tell()
 
-    def _take(self, reading: EngineReading) -> None:
+    def _take_placed(self, message: wire.CallPlaced) -> None:
+        self._ends.take(message.attempt, message.whole_tokens)
+        if not message.unread_tokens:
+            # A copy that goes on here; the engine counts it already.
+            return
+        self._reports.place(message.unread_tokens, self._clock.monotonic())
+        if self._gathering is None:
+            loop = asyncio.get_running_loop()
+            self._gathering = loop.call_later(
+                _GATHER_SECONDS, self._tell_gathered
+            )
+
+    def _tell_gathered(self) -> None:
+        self._gathering = None
+        self._tell()
+
+    def _take(self, reading: EngineReading, began: float) -> None:
         if self._reading is None:
             log_event('engine_found', address=self._engine.address)
             self._done.clear()
@@ -270,7 +296,10 @@
         was_leaving = self._reading and self._reading.state.leaving
         self._reading = reading
         leaving = reading.state.leaving
-        self._tell(reading, at_once=leaving and not was_leaving)
+        self._pace.observe(reading.runs, began)
+        state = replace(reading.state, token_seconds=self._pace.seconds)
+        self._reports.take(state, began)
+        self._tell(at_once=leaving and not was_leaving)
         if leaving and not was_leaving:
             log_decision(
                 'engine_leaves',
@@ -281,35 +310,22 @@
         if leaving and reading.runs and may_move:
             self._moving = spawn(self._move_all(), 'moves')
 
-    def _tell(self, reading: EngineReading, at_once: bool) -> None:
+    def _tell(self, at_once: bool = False) -> None:
         now = self._clock.monotonic()
-        state = reading.state
-        report = wire.EngineReport(
-            running=state.running,
-            queued=state.queued,
-            used_tokens=state.used_tokens,
-            total_tokens=state.total_tokens,
-            leaving=state.leaving,
-            entries=self.server.peers,
-        )
-        silent = now - self._told_at
-        changed = report != self._told and silent >= _TELL_SECONDS
-        if at_once or changed or silent >= _BEAT_SECONDS:
-            self._told, self._told_at = report, now
+        report = self._reports.make(self.server.peers)
+        if at_once or self._reports.is_due(report, now):
+            self._reports.note_told(report, now)
             self.server.broadcast(report)
 
     async def _move_all(self) -> None:
         """Move what runs here, one after another, until nothing is left."""
-        targets: list[MoveTarget] = []
         try:
             while self._reading is not None and not self._ending:
                 runs = self._left_to_move(self._reading.runs)
                 if not runs:
                     return
-                if self._target(runs[0], targets) is None:
-                    # What was told is spent or old; others end meanwhile.
-                    targets = await self._ask_room()
-                targets = await self._move(runs[0], targets)
+                # Other engines leave at the same time and fill the room.
+                await self._move(runs[0], await self._ask_room())
         finally:
             self._moving = None
 
@@ -322,14 +338,20 @@
     def _target(
         self, run: EngineRun, targets: Sequence[MoveTarget]
     ) -> MoveTarget | None:
-        return choose_target(run, targets, self._place.failure_domain)
+        return choose_target(
+            run, targets, self._place.failure_domain, self._random.random()
+        )
 
     def _left_to_move(self, runs: Sequence[EngineRun]) -> list[EngineRun]:
-        return plan_moves([run for run in runs if run.name not in self._done])
+        left = [run for run in runs if run.name not in self._done]
+        leaves_in = self._reading.leaves_in if self._reading else None
+        ending = self._ends.within(left, leaves_in, self._pace.seconds)
+        return plan_moves(left, ending)
 
     async def _ask_room(self) -> list[MoveTarget]:
         self._room = asyncio.get_running_loop().create_future()
-        self.server.broadcast(wire.RoomAsk(self._place.service))
+        ask = wire.RoomAsk(self._place.service)
+        self.server.send_to_some(ask, _MOST_ASKED)
         try:
             async with asyncio.timeout(_ROOM_SECONDS):
                 return await self._room
@@ -339,10 +361,8 @@
         finally:
             self._room = None
 
-    async def _move(
-        self, run: EngineRun, targets: list[MoveTarget]
-    ) -> list[MoveTarget]:
-        """Move one generation; return the targets with the room left.
+    async def _move(self, run: EngineRun, targets: list[MoveTarget]) -> None:
+        """Move one generation.
 
         One that could not be moved stays to be tried again: it runs on until
         its engine goes.
@@ -352,11 +372,10 @@
             if target is None or self._reading is None or self._ending:
                 break
             if await self._move_to(run, target):
-                return take_room(targets, target.address, run.tokens)
+                return
             # Its room was told wrong, or it cannot be reached.
-            targets = take_room(targets, target.address, target.free_tokens)
+            targets = [each for each in targets if each is not target]
         await asyncio.sleep(_READ_SECONDS)
-        return targets
 
     async def _move_to(self, run: EngineRun, target: MoveTarget) -> bool:
         """Tell whether a generation is settled: moved, or complete."""
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -25,6 +25,7 @@
 # Room that is offered for moves leaves this share of an engine's memory to
 # what its own generations will still add.
 _OFFERED = 0.9
+_MICROSECONDS = 1e6
 
 
 class EngineView:
@@ -139,6 +140,26 @@
                 self._links[address] = self._links.pop(address)
                 return
 
+    def announce_call(
+        self, backend: Backend, name: str, unread: int, whole: int
+    ) -> None:
+        """Tell the process beside an engine of a call that is sent there.
+
+        Parameters
+        ----------
+        backend
+            The engine.
+        name
+            Of the call.
+        unread
+            Tokens that the engine has to read.
+        whole
+            Tokens of its prompt and expected answer.
+        """
+        link = self._links.get(backend.record.address)
+        if link is not None:
+            link.send(wire.CallPlaced(name, unread, whole))
+
     def take_announcement(self, message: Message, _link: Link) -> None:
         """Act on what came from the process beside an engine directly."""
         if isinstance(message, wire.EngineFound) and self.take_found(message):
@@ -191,6 +212,9 @@
                 used_tokens=report.used_tokens,
                 total_tokens=report.total_tokens,
                 leaving=report.leaving,
+                unread_tokens=report.unread_tokens,
+                generating=report.generating,
+                token_seconds=report.token_micros / _MICROSECONDS,
             ),
             self._clock.monotonic(),
         )
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 __all__ = (
@@ -18,7 +18,6 @@
     'NoticeBoard',
     'choose_target',
     'plan_moves',
-    'take_room',
 )
 
 # A copy needs room for what the generation adds while it is copied, and an
@@ -75,19 +74,48 @@
     target: str = ''
 
 
-def plan_moves(runs: Sequence[EngineRun]) -> list[EngineRun]:
+def plan_moves(
+    runs: Sequence[EngineRun], ending: Collection[str] = ()
+) -> list[EngineRun]:
     """Return the generations in the order in which to move them.
 
     Notice is short and a link carries one copy at a time, so small ones go
     first: that way the most streams are saved.
+
+    Parameters
+    ----------
+    runs
+        What is still to be moved.
+    ending
+        Names of those that are expected to end here before the engine goes;
+        their turn comes last.
     """
-    return sorted(runs, key=lambda run: (run.tokens, run.name))
+    return sorted(
+        runs, key=lambda run: (run.name in ending, run.tokens, run.name)
+    )
 
 
 def choose_target(
-    run: EngineRun, targets: Sequence[MoveTarget], failure_domain: str
+    run: EngineRun,
+    targets: Sequence[MoveTarget],
+    failure_domain: str,
+    draw: float = 0,
 ) -> MoveTarget | None:
-    """Return the engine with the most room, None where none has enough."""
+    """Return an engine with the most room, None where none has enough.
+
+    Parameters
+    ----------
+    run
+        What is to be moved.
+    targets
+        Engines with their room.
+    failure_domain
+        Where the generation runs now.
+    draw
+        A number in [0, 1).  Engines that leave at the same moment see the
+        same room; those that are alike but for one generation are drawn, so
+        that not all copies queue for one link.
+    """
     fitting = [
         target
         for target in targets
@@ -95,27 +123,15 @@
     ]
     if not fitting:
         return None
-    return max(
-        fitting,
-        key=lambda target: (
-            target.free_tokens
-            + (target.failure_domain == failure_domain) * _DISTANCE_TOKENS
-        ),
-    )
-
-
-def take_room(
-    targets: Sequence[MoveTarget], address: str, tokens: int
-) -> list[MoveTarget]:
-    """Return the targets with less room at one of them."""
-    return [
-        MoveTarget(
-            each.address,
-            each.failure_domain,
-            each.free_tokens - tokens * (each.address == address),
-        )
-        for each in targets
-    ]
+    worth = {
+        target.address: target.free_tokens
+        + (target.failure_domain == failure_domain) * _DISTANCE_TOKENS
+        for target in fitting
+    }
+    least = max(worth.values()) - run.tokens
+    alike = [target for target in fitting if worth[target.address] >= least]
+    alike.sort(key=lambda target: -worth[target.address])
+    return alike[int(draw * len(alike))]
 
 
 class NoticeBoard:
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -54,6 +54,7 @@
     # Counts back ends, not tries.
     max_attempts: Count = 1
     anonymous: bool = False
+    resumable: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -175,6 +176,7 @@
         objective=route.goal_ms / _MILLISECONDS,
         max_endpoints=max(1, route.max_attempts),
         anonymous=route.anonymous,
+        resumable=route.resumable and route.route_kind == RouteKind.streaming,
     )
 
 
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -157,6 +157,8 @@
         sent[headers.EXPECTED_BACKEND] = leg.backend.name
         if call.organisation:
             sent[headers.ORGANISATION] = call.organisation
+        if leg.after_event is not None:
+            sent[headers.LAST_EVENT] = str(leg.after_event)
         resumption = leg.resumption
         if resumption is not None:
             origin = f'{resumption.source}/{resumption.handle}'
@@ -173,7 +175,10 @@
     kv_used: int = 0
     kv_total: int = 0
     queued: int = 0
+    # Counts those whose prompt is being read.
     running: int = 0
+    # Tokens of the first request that waits.
+    next_token: int = 0
     state: str = 'ready'
     leaves_ms: float | None = None
     # Rows of name, tokens in memory, events made, priority.
@@ -232,6 +237,8 @@
                 used_tokens=report.kv_used,
                 total_tokens=report.kv_total,
                 leaving=leaving,
+                unread_tokens=_count_unread(report, runs),
+                generating=len(runs),
             ),
             runs=runs,
             leaves_in=leaves_in and leaves_in / _MILLISECONDS,
@@ -286,6 +293,19 @@
     )
 
 
+def _count_unread(report: _Report, runs: Sequence[EngineRun]) -> int:
+    """Return the tokens of prompts that are being read or wait.
+
+    Rows are those past their prompt; what a prompt will need is in use from
+    its admission on.  Of those that wait only the first is told.
+    """
+    waiting = report.queued * report.next_token
+    if report.running <= len(runs):
+        return waiting
+    generated = sum(run.tokens for run in runs)
+    return max(0, report.kv_used - generated) + waiting
+
+
 def _decode(raw: tuple[tuple[bytes, bytes], ...]) -> list[Header]:
     return [
         (name.decode('latin-1'), text.decode('latin-1')) for name, text in raw
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -153,6 +153,7 @@
                 random=random,
                 clock=self._clock,
                 metrics=self._metrics,
+                announce=self._engines.announce_call,
             )
         )
         tools = RelayTools(
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from .backendset import Backend
+from .balancing import Booking
 from .callplacement import CallPlacement, CallProgress
 from .clock import Clock
 from .directcalls import (
@@ -43,6 +44,9 @@
 # of it soon.
 _NOTICE_SECONDS = 0.4
 _LEAVING_NOTICE_SECONDS = 1.0
+# Where another generation may take a stream's place, waiting longer costs more
+# than reading its prompt again.
+_SHORT_NOTICE_SECONDS = 0.1
 _STATUS_OK = 200
 
 
@@ -168,8 +172,7 @@
         with self._placement.book(progress, leg) as booking:
             async with self._tools.transport.send(call, leg) as reply:
                 if reply.status == _STATUS_OK:
-                    first = booking.note_first_event
-                    await self._pass_on(progress, reply, sink, first)
+                    await self._pass_on(progress, reply, sink, booking)
                 else:
                     await self._pass_failure(progress, reply, sink)
                 status = reply.status
@@ -181,7 +184,7 @@
         progress: CallProgress,
         reply: BackendReply,
         sink: AnswerSink,
-        note_first_event,
+        booking: Booking,
     ) -> None:
         splitter = EventSplitter()
         async for part in reply.parts():
@@ -189,7 +192,7 @@
             fresh = b''.join(filter(progress.order.accept, events))
             if not fresh:
                 continue
-            note_first_event()
+            booking.note_event(self._tools.clock.monotonic())
             if not progress.begun:
                 progress.begun = True
                 await sink.begin(AnswerHead(reply.status, reply.headers))
@@ -202,13 +205,16 @@
     ) -> None:
         if progress.begun:
             # Part of the answer is out under another status.
+            if progress.call.route.resumable:
+                raise BackendCutError(f'status {reply.status}')
             raise NotRunError(ErrorKind.generation_lost, str(reply.status))
         head, body = await _read_whole(reply)
         await sink.begin(head)
         await sink.write(body)
 
     def _begin(self, progress: CallProgress) -> Leg:
-        return Leg(self._placement.choose(progress))
+        backend = self._placement.choose(progress)
+        return Leg(backend, after_event=progress.order.last)
 
     def _send_again(
         self, progress: CallProgress, leg: Leg, error: NotRunError
@@ -224,12 +230,10 @@
         self, progress: CallProgress, leg: Leg, error: Exception
     ) -> Leg:
         """Return where a stream that was cut goes on."""
-        progress.ran = 1
         notice = await self._await_notice(progress, leg.backend)
         if notice is None or not notice.handle:
-            raise self._placement.end(
-                progress, ErrorKind.outcome_unknown, error
-            ) from error
+            return self._begin_anew(progress, leg, error)
+        progress.ran = max(1, progress.ran)
         last_event = progress.order.last
         log_decision(
             'resumed',
@@ -246,6 +250,26 @@
             Resumption(notice.source, notice.handle, last_event),
         )
 
+    def _begin_anew(
+        self, progress: CallProgress, leg: Leg, error: Exception
+    ) -> Leg:
+        """Return where another generation takes the place of one that is lost.
+
+        Raises
+        ------
+        RequestFailedError
+            The route does not allow it, or it was tried often enough.
+        """
+        if not progress.call.route.resumable:
+            progress.ran = 1
+            raise self._placement.end(
+                progress, ErrorKind.outcome_unknown, error
+            ) from error
+        cut = BackendCutError(str(error))
+        self._placement.reconsider(progress, leg.backend, cut)
+        self._tools.metrics.count('begun_anew')
+        return self._begin(progress)
+
     async def _await_notice(
         self, progress: CallProgress, backend: Backend
     ) -> MoveNotice | None:
@@ -253,7 +277,9 @@
         if traits is None or not traits.moves:
             return None
         seconds = _NOTICE_SECONDS
-        if backend.stopping:
+        if progress.call.route.resumable:
+            seconds = _SHORT_NOTICE_SECONDS
+        elif backend.stopping:
             seconds = _LEAVING_NOTICE_SECONDS
         return await self._tools.notices.wait(progress.call.name, seconds)
 
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -52,6 +52,8 @@
         Most endpoints that may run one call.
     anonymous
         Whether callers need no key.
+    resumable
+        Whether another generation may go on after an event of a stream.
     """
 
     name: str
@@ -63,6 +65,7 @@
     objective: float
     max_endpoints: int = 1
     anonymous: bool = False
+    resumable: bool = False
 
     @property
     def streaming(self) -> bool:
@@ -72,7 +75,7 @@
     @property
     def repeatable(self) -> bool:
         """Whether a call may run again when its outcome is in doubt."""
-        return self.kind == RouteKind.idempotent
+        return self.kind == RouteKind.idempotent or self.resumable
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -20,6 +20,7 @@
 
 MEMORY = 34_300
 DRAFT = BookedTokens(3079, 940)
+SHORT = BookedTokens(2500, 16)
 
 
 def make_backend(name, domain='d1', **fields):
@@ -28,7 +29,7 @@
 
 
 def make_placing(tokens=DRAFT):
-    return Placing('d1', 0.0, tokens, MEMORY, 3000)
+    return Placing('d1', 0.0, tokens, MEMORY, 1.8)
 
 
 class LeastPressedTest(unittest.TestCase):
@@ -47,7 +48,9 @@
         1.5 s: four of 32 slots looked like an idle engine.
         """
         near = make_backend('near')
-        near.take_state(EngineState(queued=4, total_tokens=MEMORY), 0)
+        near.take_state(
+            EngineState(queued=4, unread_tokens=12_000, total_tokens=MEMORY), 0
+        )
         far = make_backend('far', 'd2')
         far.take_state(EngineState(running=6, total_tokens=MEMORY), 0)
         self.assertEqual('far', self.choose([near, far]))
@@ -77,6 +80,52 @@
             Booking(Leg(chosen), DRAFT)
         self.assertEqual([4] * 5, [each.open_calls for each in backends])
 
+    def test_short_deadline_behind_long_prompts(self):
+        """Three prompts wait at one engine, generations run at the other.
+
+        The short answer's first event is due after 1.5 s.
+        """
+        behind = make_backend('behind')
+        behind.take_state(
+            EngineState(running=3, unread_tokens=9000, total_tokens=MEMORY), 0
+        )
+        beside = make_backend('beside')
+        beside.take_state(
+            EngineState(
+                running=4,
+                generating=4,
+                used_tokens=15_000,
+                total_tokens=MEMORY,
+                token_seconds=0.01,
+            ),
+            0,
+        )
+        self.assertEqual('beside', self.choose([behind, beside], SHORT))
+
+    def test_fast_engine_is_not_filled_to_the_brim(self):
+        """One engine makes tokens 1.3 times as fast as the others.
+
+        Chosen for its pace alone it held twice as many drafts, preempted some
+        and lost more than fit into its notice when it left.
+        """
+        fast = make_backend('fast')
+        slow = make_backend('slow')
+        for _ in range(10):
+            chosen = self.balancer.choose([fast, slow], make_placing())
+            Booking(Leg(chosen), DRAFT)
+            for backend, pace in ((fast, 0.007), (slow, 0.0091)):
+                state = EngineState(
+                    running=backend.open_calls,
+                    generating=backend.open_calls,
+                    used_tokens=backend.open_calls * 3500,
+                    total_tokens=MEMORY,
+                    token_seconds=pace,
+                )
+                backend.take_state(state, 0)
+                backend.unread_tokens = 0
+        self.assertGreaterEqual(fast.open_calls, slow.open_calls)
+        self.assertLessEqual(fast.open_calls, 7)
+
     def test_ties_are_drawn(self):
         backends = [make_backend(f'e{number}') for number in range(4)]
         chosen = {self.choose(backends) for _ in range(60)}
@@ -101,7 +150,7 @@
         backend = make_backend('e1')
         booking = Booking(Leg(backend), DRAFT)
         self.assertEqual(3079, backend.unread_tokens)
-        booking.note_first_event()
+        booking.note_event(1.0)
         self.assertEqual(0, backend.unread_tokens)
         booking.release()
         self.assertEqual((0, 0), (backend.open_calls, backend.open_tokens))
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -171,6 +171,41 @@
         await self.wait_for(lambda: len(self.server.moves()) == 2)
         self.assertIn(('small', 'b:1'), self.server.moves())
 
+    async def test_room_is_asked_for_each_generation(self):
+        """Other engines leave at the same time and fill the room first.
+
+        By a list from the beginning of the leave copies went to engines that
+        were full by then, and were refused one after another.
+        """
+        self.server.answers = [ROOM]
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+        asked = [
+            each for each in self.server.told if isinstance(each, wire.RoomAsk)
+        ]
+        self.assertEqual(2, len(asked))
+
+    async def test_announced_call_is_told_at_once(self):
+        """Two entries choose within the time between two readings.
+
+        The second one must see what the first has sent.
+        """
+        await self.wait_for(lambda: self.server.told)
+        self.server.told.clear()
+        self.keeper.handle(wire.CallPlaced('ab', 3000, 4000), None)
+        await self.wait_for(lambda: self.server.told)
+        self.assertEqual(3000, self.server.told[0].unread_tokens)
+
+    async def test_generation_that_ends_by_itself_is_moved_last(self):
+        self.server.answers = [ROOM]
+        self.keeper.handle(wire.CallPlaced('small', 0, 2010), None)
+        self.keeper._pace.seconds = 0.01
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+        self.assertEqual(
+            ['big', 'small'], [name for name, _ in self.server.moves()]
+        )
+
     async def test_refused_generation_is_tried_again(self):
         """Every engine refuses a copy, and room comes up a moment later.
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -15,7 +15,6 @@
     NoticeBoard,
     choose_target,
     plan_moves,
-    take_room,
 )
 
 RUN = EngineRun('r', 4000, 10)
@@ -31,6 +30,31 @@
             ['2000', '3000', '5000'], [run.name for run in plan_moves(runs)]
         )
 
+    def test_those_that_end_by_themselves_come_last(self):
+        """Half of the copies were of short answers that ended meanwhile.
+
+        The long ones behind them were cut when their engine went.
+        """
+        runs = [EngineRun('short', 2000, 1), EngineRun('long', 4000, 50)]
+        plan = plan_moves(runs, {'short'})
+        self.assertEqual(['long', 'short'], [run.name for run in plan])
+
+    def test_engines_that_leave_together_spread_their_copies(self):
+        """Four of 25 engines leave at the same moment and see the same room.
+
+        All copied to the one with the most, and queued for its link.
+        """
+        targets = [
+            MoveTarget(f't{n}', 'd1', 20_000 - n * 500) for n in range(6)
+        ]
+        targets.append(MoveTarget('full', 'd1', 6000))
+        chosen = {
+            choose_target(RUN, targets, 'd1', draw / 10).address
+            for draw in range(10)
+        }
+        self.assertGreaterEqual(len(chosen), 4)
+        self.assertNotIn('full', chosen)
+
     def test_near_engine_unless_it_is_much_fuller(self):
         near = MoveTarget('near', 'd1', 8000)
         far = MoveTarget('far', 'd2', 15_000)
@@ -44,14 +68,6 @@
         tight = MoveTarget('near', 'd1', 4100)
         self.assertIsNone(choose_target(RUN, [tight], 'd1'))
 
-    def test_room_is_taken(self):
-        targets = take_room(
-            [MoveTarget('a', 'd1', 9000), MoveTarget('b', 'd1', 8000)],
-            'a',
-            4000,
-        )
-        self.assertEqual([5000, 8000], [each.free_tokens for each in targets])
-
 
 class NoticeBoardTest(unittest.IsolatedAsyncioTestCase):
     """Notices and cuts come in either order."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -389,6 +389,46 @@
         kind = await self.fail(call, reply)
         self.assertEqual(ErrorKind.deadline_exceeded, kind)
 
+    async def test_short_answer_is_begun_anew_where_the_route_allows(self):
+        """An engine goes while it reads the prompt of a short answer.
+
+        Callers of such routes may be given another generation; a failure made
+        them come back with all of their time spent.
+        """
+        call = self.make_call(
+            RouteKind.streaming, resumable=True, max_endpoints=2
+        )
+        await self.answer(call, CUT, ScriptedReply(make_event(1)))
+        self.assertEqual(make_event(1), self.sink.body)
+        first, second = self.transport.legs
+        self.assertNotEqual(first.backend.name, second.backend.name)
+        self.assertIsNone(second.after_event)
+
+    async def test_other_generation_goes_on_after_the_last_event(self):
+        """An engine crashes between two events of a short answer.
+
+        The caller gets each event once, and the engine is told which was last.
+        """
+        call = self.make_call(
+            RouteKind.streaming, resumable=True, max_endpoints=2
+        )
+        await self.answer(
+            call,
+            ScriptedReply(make_event(1), make_event(2), CUT),
+            ScriptedReply(make_event(3)),
+        )
+        events = b''.join(map(make_event, (1, 2, 3)))
+        self.assertEqual(events, self.sink.body)
+        self.assertEqual(2, self.transport.legs[1].after_event)
+
+    async def test_begun_anew_at_no_more_endpoints_than_allowed(self):
+        call = self.make_call(
+            RouteKind.streaming, resumable=True, max_endpoints=2
+        )
+        kind = await self.fail(call, CUT, CUT, ScriptedReply(make_event(1)))
+        self.assertEqual(ErrorKind.outcome_unknown, kind)
+        self.assertEqual(2, len(self.transport.legs))
+
     async def test_nothing_stays_booked(self):
         call = self.make_call(RouteKind.streaming)
         await self.fail(call, ScriptedReply(make_event(1), CUT))
