Tell from logs which requests were lost or late, and why

`losses` counts the requests of all processes' logs that were lost or late, by the verdict of `explain` without its names, with tokens at stake and ids. For that the line of an answer tells the first event, the longest pause and what made it late, and the line of a send the tokens; routes carry the longest pause that is on time.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -99,6 +99,9 @@
         Whether part of the answer was handed on.
     others
         Back ends that could have been chosen in place of the last one.
+    first_event, longest_pause
+        Seconds from the arrival to the first event handed on, and between two
+        of them.
     """
 
     call: DirectCall
@@ -108,6 +111,18 @@
     order: StreamOrder = field(default_factory=StreamOrder)
     begun: bool = False
     others: int = 0
+    first_event: float | None = None
+    longest_pause: float = 0
+    _event_at: float = 0
+
+    def note_event(self, now: float) -> None:
+        """Note that events are handed on."""
+        if self.first_event is None:
+            self.first_event = now - self.call.arrived
+        else:
+            pause = now - self._event_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self._event_at = now
 
 
 class CallPlacement:
@@ -155,6 +170,7 @@
             boot=chosen.record.boot,
             version=self._tools.tables.version,
             seen=len(candidates),
+            tokens=placing.tokens.total if placing.tokens else None,
             open=chosen.open_calls,
             report_age=chosen.report_age(now),
             left=call.deadline - now,
--- a/primrosewood/ctl.py
+++ b/primrosewood/ctl.py
@@ -18,6 +18,7 @@
 from .errors import SettingsInvalidError
 from .loglines import LogLine, count_outcomes, parse_lines
 from .logstory import tell_story
+from .losses import find_losses
 
 __all__ = ('Ctl', 'main')
 
@@ -132,6 +133,14 @@
             shown = [counted[span][name] for name in names]
             _write_row(format(span * seconds, 'g'), shown)
 
+    def losses(self, *files: str) -> None:
+        """Print which requests were lost or late, by reason, dearest first."""
+        _write_row('requests', ('tokens', 'reason', 'examples'))
+        for loss in find_losses(_read_logs(files)):
+            examples = ' '.join(loss.examples)
+            shown = (loss.tokens, loss.reason, examples)
+            _write_row(str(loss.requests), shown)
+
     def domain_out(self, team: str, failure_domain: str) -> None:
         """Take a failure domain out; the team 'platform' means all teams."""
         self._put_domain(team, failure_domain, 'out')
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -40,6 +40,9 @@
 # Between two tries to learn the engine's name.  Each is paid for.
 _NAME_SECONDS = 1.0
 _MOST_TRIES = 3
+# A copy of some 4,000 tokens, and the share of the newest one in the mean.
+_COPY_SECONDS = 0.35
+_NEWEST_COPY = 0.3
 # Entries that are asked for what another one lacks: each answers with all of
 # it, and one of them may itself be turned away.
 _MOST_ASKED = 3
@@ -133,6 +136,7 @@
         self._reports = EngineReports()
         self._pace = TokenPace()
         self._ends = ExpectedEnds()
+        self._copy_seconds = _COPY_SECONDS
         self._random = random or make_random()
         self._gathering: asyncio.TimerHandle | None = None
         self._reading: EngineReading | None = None
@@ -339,9 +343,21 @@
         self, run: EngineRun, targets: Sequence[MoveTarget]
     ) -> MoveTarget | None:
         return choose_target(
-            run, targets, self._place.failure_domain, self._random.random()
+            run,
+            targets,
+            self._place.failure_domain,
+            draw=self._random.random(),
+            hurried=self._is_hurried(),
         )
 
+    def _is_hurried(self) -> bool:
+        """Tell whether the notice is too short for what is left."""
+        reading = self._reading
+        if reading is None or reading.leaves_in is None:
+            return False
+        left = len(self._left_to_move(reading.runs))
+        return left * self._copy_seconds > reading.leaves_in
+
     def _left_to_move(self, runs: Sequence[EngineRun]) -> list[EngineRun]:
         left = [run for run in runs if run.name not in self._done]
         leaves_in = self._reading.leaves_in if self._reading else None
@@ -397,7 +413,9 @@
         if self._ending:
             raise NotRunError(ErrorKind.leaving)
         handle = await self._engine.copy(run, target, last=True)
-        self._metrics.record('move', self._clock.monotonic() - started)
+        took = self._clock.monotonic() - started
+        self._copy_seconds += (took - self._copy_seconds) * _NEWEST_COPY
+        self._metrics.record('move', took)
         return handle
 
     def _tell_move(self, run: EngineRun, target: str, handle: str) -> None:
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -100,6 +100,7 @@
     targets: Sequence[MoveTarget],
     failure_domain: str,
     draw: float = 0,
+    hurried: bool = False,
 ) -> MoveTarget | None:
     """Return an engine with the most room, None where none has enough.
 
@@ -115,6 +116,9 @@
         A number in [0, 1).  Engines that leave at the same moment see the
         same room; those that are alike but for one generation are drawn, so
         that not all copies queue for one link.
+    hurried
+        Whether the notice is too short for all copies; then a near engine is
+        taken however full it is.
     """
     fitting = [
         target
@@ -123,6 +127,9 @@
     ]
     if not fitting:
         return None
+    near = [each for each in fitting if each.failure_domain == failure_domain]
+    if hurried and near:
+        fitting = near
     worth = {
         target.address: target.free_tokens
         + (target.failure_domain == failure_domain) * _DISTANCE_TOKENS
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -48,6 +48,8 @@
     timeout_ms: Number
     # Within it an answer earns all it can: an objective, not a limit.
     goal_ms: Number = 0
+    # Between two events; longer ones make a stream late, no more.
+    gap_aim_ms: Number = 0
     # Empty where the route splits its calls.
     service: str = ''
     split: list[_Split] = []
@@ -176,6 +178,7 @@
         objective=route.goal_ms / _MILLISECONDS,
         max_endpoints=max(1, route.max_attempts),
         anonymous=route.anonymous,
+        longest_pause=route.gap_aim_ms / _MILLISECONDS,
         resumable=route.resumable and route.route_kind == RouteKind.streaming,
     )
 
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -192,7 +192,9 @@
             fresh = b''.join(filter(progress.order.accept, events))
             if not fresh:
                 continue
-            booking.note_event(self._tools.clock.monotonic())
+            now = self._tools.clock.monotonic()
+            booking.note_event(now)
+            progress.note_event(now)
             if not progress.begun:
                 progress.begun = True
                 await sink.begin(AnswerHead(reply.status, reply.headers))
@@ -297,10 +299,30 @@
             status=status,
             sends=progress.sends,
             last_event=progress.order.last,
+            first_event=progress.first_event,
+            longest_pause=progress.longest_pause or None,
+            late=_find_delay(progress, seconds) or None,
             seconds=seconds,
         )
 
 
+def _find_delay(progress: CallProgress, seconds: float) -> str:
+    """Return what made an answer late, empty when it is on time."""
+    route = progress.call.route
+    first = progress.first_event
+    if first is None:
+        return 'whole answer' if _is_over(seconds, route.objective) else ''
+    if _is_over(first, route.objective):
+        return 'first event'
+    paused = _is_over(progress.longest_pause, route.longest_pause)
+    return 'pause' if paused else ''
+
+
+def _is_over(seconds: float, most: float) -> bool:
+    """Tell whether a time passes a bound; none is 0."""
+    return bool(most) and seconds > most
+
+
 def _patience(progress: CallProgress) -> float | None:
     """Return how long a try may take, None until the deadline."""
     route = progress.call.route
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -52,6 +52,8 @@
         Most endpoints that may run one call.
     anonymous
         Whether callers need no key.
+    longest_pause
+        Seconds between events of a stream that is on time, 0 for any.
     resumable
         Whether another generation may go on after an event of a stream.
     """
@@ -66,6 +68,7 @@
     max_endpoints: int = 1
     anonymous: bool = False
     resumable: bool = False
+    longest_pause: float = 0
 
     @property
     def streaming(self) -> bool:
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -64,6 +64,15 @@
             'far', choose_target(RUN, [near, farther], 'd1').address
         )
 
+    def test_near_engine_when_the_notice_is_short(self):
+        """Seven streams, 1.5 s, and a copy to another domain takes 0.5 s."""
+        near = MoveTarget('near', 'd1', 5000)
+        far = MoveTarget('far', 'd2', 25_000)
+        chosen = choose_target(RUN, [near, far], 'd1', hurried=True)
+        self.assertEqual('near', chosen.address)
+        chosen = choose_target(RUN, [far], 'd1', hurried=True)
+        self.assertEqual('far', chosen.address)
+
     def test_no_room(self):
         tight = MoveTarget('near', 'd1', 4100)
         self.assertIsNone(choose_target(RUN, [tight], 'd1'))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import deque
 from contextlib import asynccontextmanager
+from unittest import mock
 
 from primrosewood.backendset import BackendRecord, BackendSet
 from primrosewood.balancing import LeastPressed
@@ -429,6 +430,21 @@
         self.assertEqual(ErrorKind.outcome_unknown, kind)
         self.assertEqual(2, len(self.transport.legs))
 
+    async def test_log_tells_what_made_a_stream_late(self):
+        """Callers complain of late answers: was it the start or a pause?"""
+        reply = ScriptedReply()
+
+        async def stall():
+            yield make_event(1)
+            await asyncio.sleep(0.15)
+            yield make_event(2)
+
+        reply.parts = stall
+        call = self.make_call(RouteKind.streaming, longest_pause=0.1)
+        with mock.patch('primrosewood.relay.log_decision') as log:
+            await self.answer(call, reply)
+        self.assertEqual('pause', log.call_args.kwargs['late'])
+
     async def test_nothing_stays_booked(self):
         call = self.make_call(RouteKind.streaming)
         await self.fail(call, ScriptedReply(make_event(1), CUT))
