Name what is announced, log when reports stop, describe the new messages

Reading the change as a newcomer: `place` and `tokens` of the reports stood for two things each, bounds had no reason beside them. An entry logs when an engine's reports stop and come again, as it chooses by its own calls meanwhile.

--- a/bench/herd.py
+++ b/bench/herd.py
@@ -225,7 +225,7 @@
         return self._balancer.choose(usable, placing)
 
     def _place(self, now: float, engine: _Engine, tokens: BookedTokens) -> None:
-        engine.reports.place(tokens.prompt, now)
+        engine.reports.announce(tokens.prompt, now)
         if not engine.gathering:
             engine.gathering = True
             self._at(now + _GATHER_SECONDS, self._tell_gathered, engine)
--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -169,15 +169,17 @@
         self.state_at = now
         self._replace_state(state)
 
-    def drop_old_state(self, now: float) -> None:
-        """Forget a report that no newer one follows.
+    def drop_old_state(self, now: float) -> bool:
+        """Forget a report that no newer one follows; tell whether it was.
 
         What was opened since is added to a report, so that an old one would
         make its engine look ever fuller.  A leave is never taken back.
         """
         old = now > self.state_at + _REPORT_SECONDS
-        if self.state is not None and old and not self.state.leaving:
-            self._replace_state(None)
+        if self.state is None or not old or self.state.leaving:
+            return False
+        self._replace_state(None)
+        return True
 
     def note_misdirected(self) -> None:
         """Pass it over until its record is written again."""
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -34,12 +34,13 @@
 _LOSS_WEIGHT = 5
 # How steeply the chance of a late first event grows towards the objective.
 _LATE_POWER = 4
-# Memory is what engines run out of first: from this share on a generation may
-# preempt another one, which then is read again; it does at the other.
+# Memory is what engines run out of first.  Above the lower share a generation
+# may preempt another one, which is then read again; at the upper one it does,
+# as guesses of lengths are often too short.
 _CROWDED_SHARE = 0.75
 _FULL_SHARE = 1.1
-# The more an engine holds, the more streams are cut when it leaves: copies of
-# some 40 in 100 of its memory fit into a notice.
+# Chance that a generation on a full engine is cut when that engine leaves: its
+# notice is long enough for copies of part of its memory only.
 _LEAVE_RISK = 0.15
 # A plain service that works on as many calls as it has slots queues the next;
 # calls take about this long there.
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -36,15 +36,17 @@
 _READ_SECONDS = 0.05
 # Calls that entries announce within this time are told together.
 _GATHER_SECONDS = 0.002
+# How long entries may take to tell where there is room.
 _ROOM_SECONDS = 0.25
 # Between two tries to learn the engine's name.  Each is paid for.
 _NAME_SECONDS = 1.0
 _MOST_TRIES = 3
-# A copy of some 4,000 tokens, and the share of the newest one in the mean.
+# What a copy takes before any was made, and the weight of the newest one in the
+# mean.
 _COPY_SECONDS = 0.35
 _NEWEST_COPY = 0.3
-# Entries that are asked for what another one lacks: each answers with all of
-# it, and one of them may itself be turned away.
+# Entries that are asked at a time: all answer alike, but one of them may itself
+# be cut off, or have just started.
 _MOST_ASKED = 3
 
 
@@ -281,7 +283,7 @@
         if not message.unread_tokens:
             # A copy that goes on here; the engine counts it already.
             return
-        self._reports.place(message.unread_tokens, self._clock.monotonic())
+        self._reports.announce(message.unread_tokens, self._clock.monotonic())
         if self._gathering is None:
             loop = asyncio.get_running_loop()
             self._gathering = loop.call_later(
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -17,10 +17,11 @@
 
 # Without news a report still shows that this process lives.
 _BEAT_SECONDS = 0.5
-# Of what a node may send for control, and a report's size in a frame.
+# What a node may send for control, and a report's size in a frame.
 _BYTES_A_SECOND = 4000
 _REPORT_BYTES = 28
-# Reports that may go out at once after a quiet time.
+# Reports that may go out at once after a quiet time, and that news of a fuller
+# engine may borrow.
 _BURST = 12
 # From a call's announcement until the engine's own figures count it.
 _ARRIVAL_SECONDS = 0.015
@@ -30,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Placed:
+class _Announced:
     """A call that an entry announced."""
 
     prompt_tokens: int
@@ -51,13 +52,13 @@
         self.last: wire.EngineReport | None = None
         self._last_at = float('-inf')
         self._state = EngineState()
-        self._placed: deque[_Placed] = deque()
-        self._tokens: float = _BURST
+        self._coming: deque[_Announced] = deque()
+        self._credit: float = _BURST
         self._filled_at: float = 0
 
-    def place(self, prompt_tokens: int, now: float) -> None:
+    def announce(self, prompt_tokens: int, now: float) -> None:
         """Note a call that is on its way to the engine."""
-        self._placed.append(_Placed(prompt_tokens, now))
+        self._coming.append(_Announced(prompt_tokens, now))
 
     def take(self, state: EngineState, began: float) -> None:
         """Note the engine's own figures.
@@ -70,21 +71,21 @@
             When it was asked, in monotonic seconds.
         """
         self._state = state
-        while self._placed and self._placed[0].at < began - _ARRIVAL_SECONDS:
-            self._placed.popleft()
+        while self._coming and self._coming[0].at < began - _ARRIVAL_SECONDS:
+            self._coming.popleft()
 
     def make(self, entries: int) -> wire.EngineReport:
         """Return the report that holds now."""
         state = self._state
-        coming = sum(each.prompt_tokens for each in self._placed)
+        unread = sum(each.prompt_tokens for each in self._coming)
         return wire.EngineReport(
-            running=state.running + len(self._placed),
+            running=state.running + len(self._coming),
             queued=state.queued,
-            used_tokens=state.used_tokens + coming,
+            used_tokens=state.used_tokens + unread,
             total_tokens=state.total_tokens,
             leaving=state.leaving,
             entries=entries,
-            unread_tokens=state.unread_tokens + coming,
+            unread_tokens=state.unread_tokens + unread,
             generating=state.generating,
             token_micros=int(state.token_seconds * _MICROSECONDS),
         )
@@ -96,15 +97,15 @@
         if self.last is not None and not _is_news(report, self.last):
             return False
         self._fill(report.entries, now)
-        # An engine that looks emptier than it is draws all calls; one that
-        # looks fuller only misses some.
+        # An engine that looks emptier than it is draws all calls, so that
+        # news may borrow; one that looks fuller only misses some.
         least = -_BURST if self._is_fuller(report) else 1
-        return self._tokens >= least
+        return self._credit >= least
 
     def note_told(self, report: wire.EngineReport, now: float) -> None:
         """Note that a report goes out."""
         self._fill(report.entries, now)
-        self._tokens = max(-_BURST, self._tokens - 1)
+        self._credit = max(-_BURST, self._credit - 1)
         self.last, self._last_at = report, now
 
     def _is_fuller(self, report: wire.EngineReport) -> bool:
@@ -117,7 +118,7 @@
     def _fill(self, entries: int, now: float) -> None:
         rate = _BYTES_A_SECOND / (_REPORT_BYTES * max(1, entries))
         more = (now - self._filled_at) * rate
-        self._tokens = min(_BURST, self._tokens + more)
+        self._credit = min(_BURST, self._credit + more)
         self._filled_at = now
 
 
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -82,7 +82,8 @@
         """Give up what is silent, or whose engine left long ago."""
         now = self._clock.monotonic()
         for backend in self._backends.backends:
-            backend.drop_old_state(now)
+            if backend.drop_old_state(now):
+                log_event('reports_stopped', 'WARNING', endpoint=backend.name)
         for address, since in list(self._unlisted.items()):
             if now > since + _LINGER_SECONDS:
                 self._unlisted.pop(address)
@@ -204,6 +205,8 @@
         backend = self._backends.find_address(address)
         if backend is None:
             return
+        if backend.state is None:
+            log_event('reports_heard', endpoint=backend.name)
         was_stopping = backend.stopping
         backend.take_state(
             EngineState(
--- a/tests/test_enginereports.py
+++ b/tests/test_enginereports.py
@@ -32,7 +32,7 @@
 
     def test_announced_call_counts_until_the_engine_shows_it(self):
         """A call is on its way: no figure of the engine has it yet."""
-        self.reports.place(3000, 1.0)
+        self.reports.announce(3000, 1.0)
         report = self.reports.make(4)
         self.assertEqual((1, 3000), (report.running, report.unread_tokens))
         shown = EngineState(running=1, unread_tokens=3000, total_tokens=27_000)
@@ -41,7 +41,7 @@
         self.assertEqual((1, 3000), (report.running, report.unread_tokens))
 
     def test_figures_from_before_a_call_do_not_hide_it(self):
-        self.reports.place(3000, 1.0)
+        self.reports.announce(3000, 1.0)
         self.reports.take(IDLE, 0.99)
         self.assertEqual(3000, self.reports.make(4).unread_tokens)
 
