--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 
 import fire
 
+from .ablation import run_ablation
 from .claims_rate import run_claims
 from .costs import run_costs
 from .delays import run_delays
@@ -37,6 +38,7 @@
         'slopes': run_slopes,
         'table': run_table_change,
         'herd': run_herd,
+        'ablation': run_ablation,
         'path': lambda: run_path(quick),
         'policy': lambda: run_table(quick),
     }
--- a/bench/herd.py
+++ b/bench/herd.py
@@ -39,6 +39,11 @@
 _LONG = BookedTokens(3_079, 750)
 _LONG_SHARE = 0.47
 _SLOTS = 64
+# One engine in six leaves at a time; an empty one takes its place.
+_LEAVE_EVERY_SECONDS = 3.3
+_LEAVING_SHARE = 6
+# Tokens that are copied off an engine within its notice.
+_MOVED_TOKENS = 18_000
 _PERCENT = 100
 _LATE_BOUND = 0.02
 
@@ -92,11 +97,17 @@
         the mean.
     messages
         Reports and announcements, each copy counted.
+    lost
+        Generations that were not copied before their engine left.
+    crowded
+        Generations that came to an engine without memory for them.
     """
 
     first_events: list[float] = field(default_factory=list)
     met: float = 0
     messages: int = 0
+    lost: int = 0
+    crowded: int = 0
 
     @property
     def late(self) -> float:
@@ -119,10 +130,24 @@
         self.told_at = float('-inf')
         self.gathering = False
         self.sent: list[float] = []
+        self.bookings: set[Booking] = set()
         self._unread: list[tuple[float, int]] = []
         self._ends: list[tuple[float, int]] = []
         self._free_at = 0.0
 
+    def leave(self, now: float) -> int:
+        """Empty the engine; return how many generations were not copied."""
+        self.state(now)
+        left = _MOVED_TOKENS
+        lost = 0
+        for _end, total in sorted(self._ends, key=lambda row: row[1]):
+            left -= total
+            lost += left < 0
+        self._unread.clear()
+        self._ends.clear()
+        self._free_at = now
+        return lost
+
     def admit(self, tokens: BookedTokens, now: float) -> tuple[float, float]:
         """Return when the first event comes, and the last one."""
         first = max(now, self._free_at) + tokens.prompt / _READING_PACE
@@ -174,6 +199,7 @@
         for engine in self._engines:
             self._at(self._random.random() * _READ_SECONDS, self._read, engine)
         self._at(0, self._call)
+        self._at(_LEAVE_EVERY_SECONDS, self._leave)
         while self._events:
             now, _order, act, *rest = heapq.heappop(self._events)
             if now > seconds:
@@ -203,15 +229,36 @@
         near = [at for at in engine.sent if at > now - _NEAR_SECONDS]
         self._met += len(near)
         engine.sent = [*near, now]
+        used = engine.state(now).used_tokens
+        self._figures.crowded += used + tokens.total > _MEMORY
         booking = Booking(Leg(backend), tokens)
         first, last = engine.admit(tokens, now + _ARRIVAL_SECONDS)
         self._figures.first_events.append(first - now)
-        self._at(first, booking.note_event)
-        self._at(last, lambda _now: booking.release())
+        engine.bookings.add(booking)
+        self._at(first, self._begin, engine, booking)
+        self._at(last, self._end, engine, booking)
         if self._way.announced:
             self._figures.messages += 1
             self._at(now + _LINK_SECONDS, self._place, engine, tokens)
 
+    def _begin(self, now: float, engine: _Engine, booking: Booking) -> None:
+        if booking in engine.bookings:
+            booking.note_event(now)
+
+    def _end(self, _now: float, engine: _Engine, booking: Booking) -> None:
+        if booking in engine.bookings:
+            engine.bookings.remove(booking)
+            booking.release()
+
+    def _leave(self, now: float) -> None:
+        self._at(now + _LEAVE_EVERY_SECONDS, self._leave)
+        leaving = len(self._engines) // _LEAVING_SHARE
+        for engine in self._random.sample(self._engines, leaving):
+            self._figures.lost += engine.leave(now)
+            for booking in engine.bookings:
+                booking.release()
+            engine.bookings.clear()
+
     def _choose(
         self, view: list[Backend], tokens: BookedTokens, now: float
     ) -> Backend:
@@ -283,6 +330,8 @@
                 'first_p99': shown.quantile(0.99),
                 'late_percent': shown.late * _PERCENT,
                 'met': shown.met,
+                'lost': shown.lost,
+                'crowded': shown.crowded,
                 'messages_a_node_second': told,
             },
             f'late <= {_LATE_BOUND * _PERCENT:g} %' if kept else '',
--- a/tests/test_enginereports.py
+++ b/tests/test_enginereports.py
@@ -100,3 +100,19 @@
         self.assertLess(announced.late, 0.02)
         self.assertLess(announced.met, herd.met / 2)
         self.assertLess(announced.quantile(0.9), 0.9)
+
+    def test_leave_every_few_seconds(self):
+        """A sixth of the engines leaves every 3.3 s, with a short notice.
+
+        Engines that held more than could be copied lost streams; spread by
+        what they hold, few do.
+        """
+        lost = {
+            way: sum(
+                Herd(27, 25, 28.7, WAYS[way], seed).run(25).lost
+                for seed in (1, 2)
+            )
+            for way in ('counts', 'announced')
+        }
+        self.assertGreater(lost['counts'], 10)
+        self.assertLess(lost['announced'], lost['counts'] / 3)
