--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -41,7 +41,7 @@
 _FULL_SHARE = 1.1
 # Chance that a generation on a full engine is cut when that engine leaves: its
 # notice is long enough for copies of part of its memory only.
-_LEAVE_RISK = 0.4
+_LEAVE_RISK = 0.15
 # A plain service that works on as many calls as it has slots queues the next;
 # calls take about this long there.
 _SERVICE_SECONDS = 0.1
