--- a/tests/test_enginereports.py
+++ b/tests/test_enginereports.py
@@ -105,14 +105,16 @@
         """A sixth of the engines leaves every 3.3 s, with a short notice.
 
         Engines that held more than could be copied lost streams; spread by
-        what they hold, few do.
+        what is on its way to them, hardly more are lost than with a view of
+        everything.
         """
         lost = {
             way: sum(
                 Herd(27, 25, 28.7, WAYS[way], seed).run(25).lost
-                for seed in (1, 2)
+                for seed in range(1, 7)
             )
-            for way in ('counts', 'announced')
+            for way in ('counts', 'announced', 'oracle')
         }
         self.assertGreater(lost['counts'], 10)
         self.assertLess(lost['announced'], lost['counts'] / 3)
+        self.assertLessEqual(lost['announced'], lost['oracle'] * 1.25)
