Tell whole values to an entry that asks

What callers would see: old routes at an entry that the key-value service turns away, past the time in which a change must be in force.

Cause, found by reading: answers to an ask carried a difference to the version that the answering entry had before. The asker may have heard of another version in between; the difference fits nothing there, and the next answer is the same.

Change: differences go only in what is told to all; who has another version reads by itself, or asks and gets the whole value, packed. The test fails without it.

--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -139,7 +139,7 @@
             asker=asker,
             since=since,
             newest=self._view.newest,
-            pairs=[self._to_stored(change, since) for change in changes],
+            pairs=[self._to_stored(asker, since, each) for each in changes],
         )
 
     def _end_reading(self) -> None:
@@ -151,7 +151,9 @@
         if self._reading is not None and not self._reading.expired():
             self._reading.reschedule(asyncio.get_running_loop().time())
 
-    def _to_stored(self, change: Change, since: int) -> wire.StoredPair:
+    def _to_stored(
+        self, asker: str, since: int, change: Change
+    ) -> wire.StoredPair:
         told = wire.StoredPair(
             key=change.key,
             revision=change.revision,
@@ -159,8 +161,10 @@
             stored=change.pair.stored if change.pair else b'',
         )
         older = self._view.find_older(change.key)
-        # Whoever knows all up to a revision has the version that stood then.
-        if change.pair and older is not None and older.revision <= since:
+        # Most have the version that this process had.  Who has another one
+        # reads, or asks and is told the whole value.
+        to_all = asker == _TO_ALL
+        if to_all and change.pair and older and older.revision <= since:
             patch = make_patch(older.stored, change.pair.stored)
             told.base = older.revision
             told.stored = patch.fresh
--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -4,13 +4,14 @@
 import json
 import unittest
 from random import Random
+from unittest import mock
 
 from primrosewood import gen_wire as wire
 from primrosewood.clock import SystemClock
 from primrosewood.codec import serialise_frame
 from primrosewood.errors import StoreUnavailableError
 from primrosewood.kv import MemoryKeyValue
-from primrosewood.patches import make_patch
+from primrosewood.patches import make_patch, unpack
 from primrosewood.sharedreader import SharedReader
 from primrosewood.storeview import StoreView
 
@@ -266,6 +267,24 @@
         reader.handle(wire.PairsTold('', 5, 9, [told]), None)
         self.assertEqual({'routes': after}, self.held['e1'])
 
+    async def test_who_asks_is_told_whole_values(self):
+        """An entry that the service turns away has heard of another version.
+
+        A difference to a version that it never had is of no use, however often
+        it asks; it kept old routes until the service took it in again.
+        """
+        self.add('e1', _TurnedAway())
+        reader = self.bus.readers['e1']
+        for since, newest, count in ((0, 5, 100), (5, 12, 102)):
+            whole = wire.StoredPair('routes', newest, False, make_routes(count))
+            reader.handle(wire.PairsTold('', since, newest, [whole]), None)
+        answers = []
+        link = mock.Mock(send=answers.append)
+        reader.handle(wire.PairsAsk('e3', 9), link)
+        told = answers[0].pairs[0]
+        self.assertEqual(0, told.base)
+        self.assertEqual(make_routes(102), unpack(told.stored))
+
     async def test_entry_that_starts_late_is_told_whole_values(self):
         """It asks with no knowledge: no difference is of use to it."""
         self.add('e1')
