Read an engine's report where it is made

The reports' module turned a state into a report; the entry and the simulated herd each turned it back by hand, with the factor of microseconds a second time, so that a new figure had to be added in three places. `read_report` stands beside `make` now.

--- a/bench/herd.py
+++ b/bench/herd.py
@@ -19,7 +19,7 @@
     Placing,
 )
 from primrosewood.directcalls import Leg
-from primrosewood.enginereports import EngineReports
+from primrosewood.enginereports import EngineReports, read_report
 from primrosewood.shares import ColdLimit, EntryCount
 
 from .lines import Line
@@ -303,14 +303,7 @@
 
     def _hear(self, now: float, engine: _Engine, report) -> None:
         number = self._engines.index(engine)
-        state = EngineState(
-            running=report.running,
-            used_tokens=report.used_tokens,
-            total_tokens=report.total_tokens,
-            unread_tokens=report.unread_tokens,
-            generating=report.generating,
-            token_seconds=_TOKEN_SECONDS,
-        )
+        state = read_report(report)
         for view in self._views:
             view[number].take_state(state, now)
 
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -13,7 +13,7 @@
 from . import gen_wire as wire
 from .backendset import EngineState
 
-__all__ = ('EngineReports',)
+__all__ = ('EngineReports', 'read_report')
 
 # Without news a report still shows that this process lives.
 _BEAT_SECONDS = 0.5
@@ -122,6 +122,20 @@
         self._filled_at = now
 
 
+def read_report(report: wire.EngineReport) -> EngineState:
+    """Return the state that a report tells."""
+    return EngineState(
+        running=report.running,
+        queued=report.queued,
+        used_tokens=report.used_tokens,
+        total_tokens=report.total_tokens,
+        leaving=report.leaving,
+        unread_tokens=report.unread_tokens,
+        generating=report.generating,
+        token_seconds=report.token_micros / _MICROSECONDS,
+    )
+
+
 def _is_news(report: wire.EngineReport, last: wire.EngineReport) -> bool:
     """Tell whether a choice among engines may come out differently."""
     if _counts(report) != _counts(last):
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -4,9 +4,10 @@
 from functools import partial
 
 from . import gen_wire as wire
-from .backendset import Backend, BackendRecord, BackendSet, EngineState
+from .backendset import Backend, BackendRecord, BackendSet
 from .clock import Clock
 from .codec import Message
+from .enginereports import read_report
 from .link import Link
 from .logs import log_event
 from .moves import MoveNotice, NoticeBoard
@@ -25,7 +26,6 @@
 # Room that is offered for moves leaves this share of an engine's memory to
 # what its own generations will still add.
 _OFFERED = 0.9
-_MICROSECONDS = 1e6
 
 
 class EngineView:
@@ -208,19 +208,7 @@
         if backend.state is None:
             log_event('reports_heard', endpoint=backend.name)
         was_stopping = backend.stopping
-        backend.take_state(
-            EngineState(
-                running=report.running,
-                queued=report.queued,
-                used_tokens=report.used_tokens,
-                total_tokens=report.total_tokens,
-                leaving=report.leaving,
-                unread_tokens=report.unread_tokens,
-                generating=report.generating,
-                token_seconds=report.token_micros / _MICROSECONDS,
-            ),
-            self._clock.monotonic(),
-        )
+        backend.take_state(read_report(report), self._clock.monotonic())
         if backend.stopping != was_stopping:
             log_event(
                 'endpoint_reported',
