Do once what a placement and a move did several times

Found by reading the whole change again; behaviour is the same.

- Sending a generation guessed its length twice for one booking.
- Each target that a move tried planned all moves anew, only to count them.
- The process beside an engine is given its random source, as everything else that draws, in place of making one where none came.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -245,8 +245,11 @@
         if leg.resumption is not None:
             self._budget(call.service).spend(now)
         ahead = leg.backend.unread_ahead
-        booking = Booking(leg, self._tokens(call))
-        self._announce(call, booking)
+        tokens = self._tokens(call)
+        booking = Booking(leg, tokens)
+        if tokens is not None:
+            unread = tokens.prompt if booking.reads_prompt else 0
+            self._tools.announce(leg.backend, call.name, unread, tokens.total)
         try:
             yield booking
         except NotRunError as error:
@@ -301,14 +304,6 @@
         """Return what a service's engines can do, None for plain ones."""
         return self._tools.tables.engine_traits(service)
 
-    def _announce(self, call: DirectCall, booking: Booking) -> None:
-        tokens = self._tokens(call)
-        if tokens is not None:
-            unread = tokens.prompt if booking.reads_prompt else 0
-            self._tools.announce(
-                booking.backend, call.name, unread, tokens.total
-            )
-
     def _note_refusal(self, backend: Backend, error: NotRunError) -> None:
         if isinstance(error, MisdirectedError):
             backend.note_misdirected()
@@ -343,11 +338,15 @@
         ]
 
     def _placing(self, call: DirectCall, now: float) -> Placing:
+        domain = self._rules.failure_domain
+        tokens = self._tokens(call)
+        if tokens is None:
+            return Placing(domain, now)
         traits = self.engine_traits(call.service)
         return Placing(
-            failure_domain=self._rules.failure_domain,
+            failure_domain=domain,
             now=now,
-            tokens=self._tokens(call),
+            tokens=tokens,
             memory_tokens=traits.memory_tokens if traits else 0,
             objective=call.route.objective,
             reading_pace=self._reading_pace(call.service).tokens_a_second,
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -11,7 +11,7 @@
 
 from . import gen_wire as wire
 from .backendset import EngineState
-from .clock import Clock, RandomSource, make_random
+from .clock import Clock, RandomSource
 from .codec import Message
 from .enginepace import TokenPace
 from .enginereports import EngineReports
@@ -128,7 +128,7 @@
         place: KeeperPlace,
         clock: Clock,
         metrics: Metrics,
-        random: RandomSource | None = None,
+        random: RandomSource,
     ) -> None:
         """Start without a report."""
         self._engine = engine
@@ -139,7 +139,7 @@
         self._pace = TokenPace()
         self._ends = ExpectedEnds()
         self._copy_seconds = _COPY_SECONDS
-        self._random = random or make_random()
+        self._random = random
         self._gathering: asyncio.TimerHandle | None = None
         self._reading: EngineReading | None = None
         self._room: asyncio.Future[list[MoveTarget]] | None = None
@@ -357,11 +357,14 @@
         reading = self._reading
         if reading is None or reading.leaves_in is None:
             return False
-        left = len(self._left_to_move(reading.runs))
+        left = len(self._unsettled(reading.runs))
         return left * self._copy_seconds > reading.leaves_in
 
+    def _unsettled(self, runs: Sequence[EngineRun]) -> list[EngineRun]:
+        return [run for run in runs if run.name not in self._done]
+
     def _left_to_move(self, runs: Sequence[EngineRun]) -> list[EngineRun]:
-        left = [run for run in runs if run.name not in self._done]
+        left = self._unsettled(runs)
         leaves_in = self._reading.leaves_in if self._reading else None
         ending = self._ends.within(left, leaves_in, self._pace.seconds)
         return plan_moves(left, ending)
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..clock import SystemClock
+from ..clock import SystemClock, make_random
 from ..codec import Message
 from ..enginekeeper import EngineKeeper, KeeperPlace
 from ..gen_node import NodeSettings
@@ -38,7 +38,7 @@
         self._engine = HttpMovableEngine(settings.endpoint.engine)
         place = KeeperPlace(settings.endpoint.service, settings.failure_domain)
         self._keeper = EngineKeeper(
-            self._engine, place, SystemClock(), self._metrics
+            self._engine, place, SystemClock(), self._metrics, make_random()
         )
         self._server = PeerServer(
             settings.link_key,
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from random import Random
 from unittest import mock
 
 from primrosewood import gen_wire as wire
@@ -93,7 +94,11 @@
         )
         self.server = FakeServer()
         self.keeper = EngineKeeper(
-            self.engine, KeeperPlace('s', 'd1'), SystemClock(), Metrics()
+            self.engine,
+            KeeperPlace('s', 'd1'),
+            SystemClock(),
+            Metrics(),
+            Random(1),
         )
         self.keeper.server = self.server
         self.server.keeper = self.keeper
