Play the simulated fleet in one place

The size of the fleet (27 entries, 25 engines, 28.7 calls a second) stood in the herd, in the ablation and twice in the tests; `play_fleet` holds it. The ablation switched a list of names on itself where nothing is off.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -6,14 +6,14 @@
 
 from primrosewood import balancing
 
-from .herd import WAYS, Herd
+from .herd import play_fleet
 from .lines import Line
 
 _SEEDS = (1, 2, 3, 4, 5)
 _SECONDS = 40
 _PERCENT = 100
 _SWITCHES = {
-    'nothing': {'__all__': balancing.__all__},
+    'nothing': {},
     'late_risk': {'_late_risk': lambda _first, _objective: 0},
     'memory_risk': {'_memory_risk': lambda _share: 0},
     'delay_of_others': {'_DELAYED_SHARE': 0},
@@ -25,11 +25,8 @@
 def run_ablation() -> Iterator[Line]:
     """Play the fleet of 27 entries and 25 engines without one term each."""
     for name, switches in _SWITCHES.items():
-        with mock.patch.multiple(balancing, **switches):
-            shown = [
-                Herd(27, 25, 28.7, WAYS['announced'], seed).run(_SECONDS)
-                for seed in _SEEDS
-            ]
+        with mock.patch.dict(balancing.__dict__, switches):
+            shown = [play_fleet('announced', _SECONDS, seed) for seed in _SEEDS]
         late = [each.late * _PERCENT for each in shown]
         yield Line(
             'ablation',
--- a/bench/herd.py
+++ b/bench/herd.py
@@ -24,8 +24,11 @@
 
 from .lines import Line
 
-__all__ = ('WAYS', 'Herd', 'HerdFigures', 'run_herd')
+__all__ = ('WAYS', 'HerdFigures', 'play_fleet', 'run_herd')
 
+_ENTRIES = 27
+_ENGINES = 25
+_CALLS_A_SECOND = 28.7
 _READ_SECONDS = 0.05
 _LINK_SECONDS = 0.001
 _ARRIVAL_SECONDS = 0.003
@@ -44,6 +47,7 @@
 _LEAVING_SHARE = 6
 # Tokens that are copied off an engine within its notice.
 _MOVED_TOKENS = 18_000
+_SECONDS = 60
 _PERCENT = 100
 _LATE_BOUND = 0.02
 
@@ -170,7 +174,7 @@
         )
 
 
-class Herd:
+class _Herd:
     """Entries and engines on a virtual clock.
 
     Parameters
@@ -308,12 +312,27 @@
             view[number].take_state(state, now)
 
 
+def play_fleet(way: str, seconds: float, seed: int) -> HerdFigures:
+    """Play 27 entries before 25 engines.
+
+    Parameters
+    ----------
+    way
+        How entries learn of each other's calls, by its name in `WAYS`.
+    seconds
+        How long, on the virtual clock.
+    seed
+        Of arrivals, sizes and choices.
+    """
+    herd = _Herd(_ENTRIES, _ENGINES, _CALLS_A_SECOND, WAYS[way], seed)
+    return herd.run(seconds)
+
+
 def run_herd() -> Iterator[Line]:
     """Compare the ways on the fleet of 27 entries before 25 engines."""
-    entries, engines, rate, seconds = 27, 25, 28.7, 60
-    for name, way in WAYS.items():
-        shown = Herd(entries, engines, rate, way, seed=1).run(seconds)
-        told = shown.messages / seconds / (entries + engines)
+    for name in WAYS:
+        shown = play_fleet(name, _SECONDS, seed=1)
+        told = shown.messages / _SECONDS / (_ENTRIES + _ENGINES)
         kept = name in {'announced', 'oracle'}
         yield Line(
             'herd',
--- a/bench/table_change.py
+++ b/bench/table_change.py
@@ -51,15 +51,15 @@
             'name': f'route-{number}',
             'host': f'host{number % 10}.example',
             'path_prefix': f'/path{number}/',
-            'route_kind': 'idempotent',
-            'timeout_ms': 4000,
-            'goal_ms': 400,
-            'service': f'service-{number % 5}',
-            'max_attempts': 2,
+            'kind': 'idempotent',
+            'timeout': 4000,
+            'objective': 400,
+            'targets': [f'service-{number % 5}'],
+            'max_endpoints': 2,
         }
         for number in range(count)
     ]
-    routes[count // 2]['timeout_ms'] = version
+    routes[count // 2]['timeout'] = version
     return json.dumps({'version': version, 'routes': routes}).encode()
 
 
--- a/tests/test_enginereports.py
+++ b/tests/test_enginereports.py
@@ -7,7 +7,7 @@
 
 import unittest
 
-from bench.herd import WAYS, Herd
+from bench.herd import play_fleet
 from primrosewood.backendset import EngineState
 from primrosewood.enginereports import EngineReports
 
@@ -86,7 +86,7 @@
     """Many entries choose at the same time."""
 
     def play(self, way):
-        return Herd(27, 25, 28.7, WAYS[way], seed=3).run(20)
+        return play_fleet(way, 20, seed=3)
 
     def test_entries_do_not_all_choose_the_engine_that_looks_emptiest(self):
         """A herd on a fresh engine.
@@ -109,10 +109,7 @@
         everything.
         """
         lost = {
-            way: sum(
-                Herd(27, 25, 28.7, WAYS[way], seed).run(25).lost
-                for seed in range(1, 7)
-            )
+            way: sum(play_fleet(way, 25, seed).lost for seed in range(1, 7))
             for way in ('counts', 'announced', 'oracle')
         }
         self.assertGreater(lost['counts'], 10)
