Log the limits that back ends name in their answers

Callers saw nothing; a back end in need got more calls than it had said it takes from all entries together. The logs could not tell whether an entry did not know of the limit or kept to it by itself: no line spoke of it.

Answers to other calls, of other back ends, and failures that leave the limit out say nothing. No choice looks at it yet.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from .enginepace import TOKEN_SECONDS
-from .shares import ColdLimit, EntryCount
+from .shares import CallLimit, ColdLimit, EntryCount
 
 __all__ = ('Backend', 'BackendRecord', 'BackendSet', 'EngineState')
 
@@ -118,6 +118,7 @@
 
     record: BackendRecord
     cold_limit: ColdLimit
+    call_limit: CallLimit = field(default_factory=CallLimit)
     open_calls: int = 0
     open_tokens: int = 0
     unread_tokens: int = 0
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -173,6 +173,7 @@
             tokens=placing.tokens.total if placing.tokens else None,
             open=chosen.open_calls,
             report_age=chosen.report_age(now),
+            limit=chosen.call_limit.rate,
             left=call.deadline - now,
         )
         return chosen
--- a/primrosewood/logstory.py
+++ b/primrosewood/logstory.py
@@ -25,6 +25,8 @@
         'endpoint_missing',
         'endpoint_out',
         'endpoint_reported',
+        'limit_lifted',
+        'limit_named',
     )
 )
 _OF_LOSSES = frozenset(('endpoint_out', 'endpoint_missing'))
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from ..backendset import EngineState
+from ..backendset import Backend, EngineState
 from ..clock import Clock
 from ..directcalls import DirectCall, Header, Leg
 from ..enginekeeper import EngineReading
@@ -116,11 +116,23 @@
 
 
 class HttpTransport:
-    """Carries direct calls to back ends."""
+    """Carries direct calls to back ends.
 
-    def __init__(self, clock: Clock) -> None:
+    Parameters
+    ----------
+    note_limit
+        Called with a back end, the calls a second that its answer names (None
+        for no limit), and when that call was sent.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        note_limit: Callable[[Backend, float | None, float], None],
+    ) -> None:
         """Connect with the first call."""
         self._clock = clock
+        self._note_limit = note_limit
         self._lazy_session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -134,6 +146,7 @@
         if self._lazy_session is None:
             self._lazy_session = _make_session()
         origin = _SCHEME + leg.backend.record.address
+        sent_at = self._clock.monotonic()
         try:
             async with self._lazy_session.request(
                 call.method,
@@ -142,6 +155,7 @@
                 data=call.body or None,
                 allow_redirects=False,
             ) as response:
+                self._read_limit(call, leg.backend, response, sent_at)
                 _check_answer(call, response)
                 yield _Reply(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -150,6 +164,24 @@
         except (aiohttp.ClientError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
 
+    def _read_limit(
+        self,
+        call: DirectCall,
+        backend: Backend,
+        response: aiohttp.ClientResponse,
+        sent_at: float,
+    ) -> None:
+        if _is_stray(call, response):
+            return
+        text = response.headers.get(headers.LIMIT, '')
+        rate = headers.parse_quantity(text)
+        # A back end may leave the limit out of its refusals and failures.
+        sound = response.status in _SUCCESSES and not _find_fault(
+            call, response
+        )
+        if rate is not None or (sound and not text):
+            self._note_limit(backend, rate, sent_at)
+
     def _headers(self, call: DirectCall, leg: Leg) -> CIMultiDict[str]:
         sent = CIMultiDict(call.headers)
         left = min(call.patience, call.deadline) - self._clock.monotonic()
@@ -328,11 +360,18 @@
         raise BackendCutError(fault)
 
 
+def _is_stray(call: DirectCall, response: aiohttp.ClientResponse) -> bool:
+    """Tell whether an answer is another back end's, or to another call."""
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return True
+    return response.headers.get(headers.ATTEMPT, call.name) != call.name
+
+
 def _find_fault(call: DirectCall, response: aiohttp.ClientResponse) -> str:
     found = response.headers
     if response.status in _PROMISES:
         return f'status {response.status} without its mark'
-    if found.get(headers.ATTEMPT, call.name) != call.name:
+    if _is_stray(call, response):
         return 'an answer to another call'
     if response.status not in _SUCCESSES:
         return ''
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -7,6 +7,7 @@
 
 from ..backendset import BackendSet
 from ..balancing import LeastPressed
+from ..calllimits import CallLimits
 from ..callplacement import CallPlacement, PlacementTools, RelayRules
 from ..clock import SystemClock, make_random
 from ..codec import Message
@@ -69,7 +70,8 @@
         self._entries = EntryCount(_ASSUMED_ENTRIES)
         self._backends = BackendSet(self._entries)
         self._notices = NoticeBoard()
-        self._transport = HttpTransport(self._clock)
+        self._limits = CallLimits(self._clock)
+        self._transport = HttpTransport(self._clock, self._limits.note_answer)
         self._store = PlatformStore(settings.store, _STORE_SECONDS)
         self._engines = EngineView(
             backends=self._backends,
--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -11,6 +11,7 @@
     'DEADLINE',
     'EXPECTED_BACKEND',
     'LAST_EVENT',
+    'LIMIT',
     'MOVED_FROM',
     'NOT_RUN',
     'ORGANISATION',
@@ -20,6 +21,7 @@
     'find_header',
     'keep_caller_headers',
     'parse_deadline',
+    'parse_quantity',
     'parse_size',
 )
 
@@ -39,6 +41,8 @@
 # ``host:port/handle`` of the copy that a generation goes on from.
 MOVED_FROM = 'Kv-From'
 LAST_EVENT = 'Last-Event-Id'
+# Calls a second that the back end takes from all entries together.
+LIMIT = 'Server-Limit'
 # Tokens of the prompt, then the most that the answer may have.
 SIZE = 'Primrosewood-Token-Usage'
 _HINT = 'Primrosewood-Length-Hint'
@@ -113,13 +117,17 @@
 
 def parse_deadline(text: str) -> float | None:
     """Return the seconds that a caller waits, None where it does not say."""
+    milliseconds = parse_quantity(text)
+    return None if milliseconds is None else milliseconds / _MILLISECONDS
+
+
+def parse_quantity(text: str) -> float | None:
+    """Return a number of at least 0, None for anything else."""
     try:
-        milliseconds = float(text)
+        quantity = float(text)
     except ValueError:
         return None
-    if not math.isfinite(milliseconds) or milliseconds < 0:
-        return None
-    return milliseconds / _MILLISECONDS
+    return quantity if math.isfinite(quantity) and quantity >= 0 else None
 
 
 def parse_size(headers: Iterable[Header]) -> GenerationSize | None:
--- a/primrosewood/shares.py
+++ b/primrosewood/shares.py
@@ -8,7 +8,13 @@
 from collections import deque
 from dataclasses import dataclass
 
-__all__ = ('ColdLimit', 'EntryCount', 'RepeatBudget', 'RepeatRule')
+__all__ = (
+    'CallLimit',
+    'ColdLimit',
+    'EntryCount',
+    'RepeatBudget',
+    'RepeatRule',
+)
 
 # Used of each share; the rest covers entries that were not counted yet.
 _MARGIN = 0.8
@@ -122,3 +128,39 @@
     def note(self, now: float) -> None:
         """Count a call."""
         self._sent.append(now)
+
+
+class CallLimit:
+    """Calls a second that a back end takes from all entries together."""
+
+    def __init__(self) -> None:
+        """Start without a limit."""
+        self._rate: float | None = None
+        self._heard_at = float('-inf')
+
+    @property
+    def rate(self) -> float | None:
+        """Calls a second, None without a limit."""
+        return self._rate
+
+    @property
+    def heard_at(self) -> float:
+        """When the back end last said so, in monotonic seconds."""
+        return self._heard_at
+
+    def take(self, rate: float | None, heard_at: float) -> bool:
+        """Note what the back end said; tell whether the limit changes.
+
+        Parameters
+        ----------
+        rate
+            Calls a second, None for no limit.
+        heard_at
+            Monotonic seconds; what was heard before the last news is old.
+        """
+        if heard_at < self._heard_at:
+            return False
+        changed = rate != self._rate
+        self._rate = rate
+        self._heard_at = heard_at
+        return changed
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import unittest
+from contextlib import suppress
 
 from primrosewood.backendset import Backend, BackendRecord
 from primrosewood.clock import SystemClock
@@ -24,11 +25,15 @@
     """What comes back from one raw answer."""
 
     async def asyncSetUp(self):
-        self.transport = HttpTransport(SystemClock())
+        self.limits = []
+        self.transport = HttpTransport(SystemClock(), self.note_limit)
         self.addAsyncCleanup(self.transport.close)
         self.received = []
         self.connections = 0
 
+    def note_limit(self, _backend, rate, _sent_at):
+        self.limits.append(rate)
+
     async def serve(self, answer, reset=False):
         async def handle(reader, writer):
             self.connections += 1
@@ -119,6 +124,36 @@
             with self.subTest(head), self.assertRaises(NotRunError):
                 await self.fetch(address)
 
+    async def test_limits_that_answers_name(self):
+        """A back end names a limit, and one answer tells it wrong.
+
+        Taken from an answer to another call, or lifted by a failure that
+        leaves it out, the limit of a back end in need would not be kept.
+        """
+        limit = b'Server-Limit: 1.8\r\n'
+        other = MARKS.replace(b'ab12', b'cd34')
+        marked = b'HTTP/1.1 503 Busy\r\nPrimrosewood-Not-Executed: 1\r\n'
+        failure = b'HTTP/1.1 500 Failed\r\n' + MARKS
+        for head, told in (
+            (HEAD + MARKS + limit, [1.8]),
+            (HEAD + MARKS, [None]),
+            (HEAD + MARKS + b'Server-Limit: nan\r\n', []),
+            (HEAD + MARKS + b'Server-Limit: -1\r\n', []),
+            (marked + limit, [1.8]),
+            (marked, []),
+            (failure + limit, [1.8]),
+            (failure, []),
+            (HEAD + other + limit, []),
+            (b'HTTP/1.1 421 Misdirected Request\r\n' + limit, []),
+            (HEAD + SIZED.strip() + b'\r\n', []),
+        ):
+            self.limits.clear()
+            address = await self.serve(head + SIZED + b'whole')
+            with suppress(BackendCutError, NotRunError):
+                await self.fetch(address)
+            with self.subTest(head):
+                self.assertEqual(told, self.limits)
+
     async def test_nobody_listens(self):
         """Nothing was written, so it certainly did not run."""
         with self.assertRaises(NotRunError):
