--- a/standins/backends.py
+++ b/standins/backends.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -16,6 +17,7 @@
 _SEAL = 'Primrosewood-Response-Seal'
 _EXPECTED = 'Primrosewood-Expect-Instance'
 _NAME = 'Primrosewood-Instance-Id'
+_LIMIT = 'Server-Limit'
 _MISDIRECTED = 421
 _MISSING = 404
 _REFUSED = 503
@@ -49,14 +51,25 @@
 
 
 class _Backend:
-    """What engines and services share."""
+    """What engines and services share.
+
+    Attributes
+    ----------
+    limit
+        Calls a second that its answers name, None for no limit.
+    arrived
+        When each call came, in monotonic seconds.
+    """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.ran: list[Ran] = []
         self.refusing = False
+        self.limit: float | None = None
+        self.arrived: list[float] = []
 
     def _refusal(self, request: web.BaseRequest) -> web.Response | None:
+        self.arrived.append(time.monotonic())
         if request.headers.get(_EXPECTED, self.name) != self.name:
             return web.Response(status=_MISDIRECTED, headers={_NAME: self.name})
         if self.refusing:
@@ -76,7 +89,10 @@
                 await request.read(),
             )
         )
-        return {_ATTEMPT: name, _SEAL: f'{self.name}.{name}'}
+        headers = {_ATTEMPT: name, _SEAL: f'{self.name}.{name}'}
+        if self.limit is not None:
+            headers[_LIMIT] = str(self.limit)
+        return headers
 
 
 class ServiceStandIn(_Backend):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -26,6 +26,7 @@
 # Streams of two seconds outlast the notice of an engine that leaves.
 _EVENTS = 100
 _SLOTS = 32
+_SERVICE = 'i-desk'
 
 
 def make_route(name: str, path: str, kind: str, service: str, **fields) -> dict:
@@ -68,6 +69,9 @@
     port: int
     stand_in: StoreStandIn = field(default_factory=StoreStandIn)
     engines: dict[str, EngineStandIn] = field(default_factory=dict)
+    service: ServiceStandIn = field(
+        default_factory=lambda: ServiceStandIn(_SERVICE)
+    )
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     async def start(self, engines: int) -> None:
@@ -87,8 +91,8 @@
             await self._serve(engine.handle, host)
             await self._register(name, 'model', host)
         host = _host_of(engines + 2)
-        await self._serve(ServiceStandIn('i-desk').handle, host)
-        await self._register('i-desk', 'desk', host)
+        await self._serve(self.service.handle, host)
+        await self._register(_SERVICE, 'desk', host)
 
     async def _serve(self, handler, host: str) -> None:
         server = web.Server(handler, handler_cancellation=True)
@@ -111,10 +115,14 @@
     async def _set_faults(self, request: web.Request) -> web.Response:
         """Set the service's faults, and let engines leave.
 
-        The body has the fields of ``StoreFaults``, and under ``leave`` the
-        milliseconds of notice for each engine that goes.
+        The body has the fields of ``StoreFaults``, under ``leave`` the
+        milliseconds of notice for each engine that goes, and under ``limits``
+        the calls a second that a back end takes, or null.
         """
         wanted = await request.json()
+        back_ends = {**self.engines, _SERVICE: self.service}
+        for name, rate in wanted.pop('limits', {}).items():
+            back_ends[name].limit = rate
         for name, notice in wanted.pop('leave', {}).items():
             task = asyncio.create_task(self._leave(name, notice))
             self._tasks.add(task)
--- /dev/null
+++ b/tests/test_platform_limits.py
@@ -0,0 +1,94 @@
+"""Back ends that name how many calls they take from all entries together."""
+
+import asyncio
+import time
+
+from primrosewood.gen_node import EntryNode as EntrySettings
+from primrosewood.platform.entry import EntryNode
+from standins.backends import ServiceStandIn
+
+from .deployment import Deployment, free_port
+
+RATE = 2.0
+# From the first answer that names a limit until it must be kept.
+NOTICE_SECONDS = 3
+WINDOW_SECONDS = 4
+# A window may hold half as much again as the rate allows, and a few more.
+MOST_IN_WINDOW = RATE * WINDOW_SECONDS * 1.5 + 5
+
+
+def most_in_window(arrived, since):
+    """Return the most arrivals in any window that begins after a moment."""
+    times = [at for at in arrived if at >= since]
+    return max(
+        (
+            sum(first <= at < first + WINDOW_SECONDS for at in times)
+            for first in times
+        ),
+        default=0,
+    )
+
+
+class NamedLimitTest(Deployment):
+    """Three entries before two copies of a service, one of them in need."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.second = ServiceStandIn('i-desk-2')
+        await self.add('i-desk-2', 'desk', self.second, '127.0.0.8')
+        self.addresses = [self.callers]
+        for number in (2, 3):
+            await self.add_entry(f'entry-{number}')
+        for address in self.addresses:
+            self.callers = address
+            await self.wait_for(self.is_served_by_both)
+
+    async def add_entry(self, name):
+        self.ready = f'127.0.0.1:{free_port()}'
+        self.addresses.append(f'127.0.0.1:{free_port()}')
+        settings = self.make_settings(
+            name,
+            '127.0.0.1',
+            entry=EntrySettings(
+                callers=self.addresses[-1],
+                ready=self.ready,
+                peers=f'127.0.0.1:{free_port()}',
+            ),
+        )
+        self.run_node(EntryNode(settings), asyncio.Event())
+        await self.wait_ready()
+
+    async def is_served_by_both(self):
+        counts = [len(self.service.ran), len(self.second.ran)]
+        for _ in range(10):
+            self.assertEqual(200, await self.status('GET', '/lookup/'))
+        return len(self.service.ran) > counts[0] and (
+            len(self.second.ran) > counts[1]
+        )
+
+    async def load(self, seconds, pause):
+        """Send look-ups to the entries in turn and count the statuses."""
+        until = time.monotonic() + seconds
+        statuses = {}
+        turn = 0
+        while time.monotonic() < until:
+            turn += 1
+            self.callers = self.addresses[turn % len(self.addresses)]
+            status = await self.status('GET', '/lookup/')
+            statuses[status] = statuses.get(status, 0) + 1
+            await asyncio.sleep(pause)
+        return statuses
+
+    async def test_calls_of_all_entries_to_a_back_end_in_need(self):
+        """A copy of the issuing service names a limit of two calls a second.
+
+        Guards against entries that do not read it, or each keep to it alone:
+        the copy in need then gets three times what it takes, or all of it.
+        """
+        self.service.limit = RATE
+        named_at = time.monotonic()
+        seconds = NOTICE_SECONDS + WINDOW_SECONDS + 1
+        statuses = await self.load(seconds, 0.04)
+        self.assertEqual({200}, statuses.keys())
+        most = most_in_window(self.service.arrived, named_at + NOTICE_SECONDS)
+        self.assertLessEqual(most, MOST_IN_WINDOW)
