Keep to the calls a second that a back end names, all entries together

Cause: what a back end says of itself in its answers passed through to callers and no decision heard it. The class: a bound that the other side states on the wire at run time, for all of us together, is known to one process at most. Looked for elsewhere: cold times come with records, leaves with records and reports, both read and told.

Ruled out: repeats (188 of 188 answers after one send); a limit that each entry keeps alone (no code read it).

Change: each entry keeps a token bucket for such a back end, which its own calls and those of the others empty; entries tell each other the newest word and each call, over the processes beside engines. Calls that cannot be told count for every entry. Moves and repeats take tokens too; where none is left the caller is refused at once and told when the next one comes.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -62,6 +62,10 @@
     """Announce nothing."""
 
 
+def _count_nothing(_backend: Backend) -> None:
+    """Count no call."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementTools:
     """What placement works with.
@@ -71,6 +75,8 @@
     announce
         Tells the process beside an engine which call is on its way there:
         its name, and the tokens to be read and in all.
+    count_call
+        Counts a call against the limit that its back end names.
     """
 
     rules: RelayRules
@@ -83,6 +89,7 @@
     metrics: Metrics
     lengths: LengthBook = field(default_factory=LengthBook)
     announce: Callable[[Backend, str, int, int], None] = _ignore
+    count_call: Callable[[Backend], None] = _count_nothing
 
 
 @dataclass(slots=True)
@@ -157,7 +164,7 @@
         now = self._now()
         candidates = self._candidates(progress, now)
         if not candidates:
-            raise self.end(progress, ErrorKind.no_endpoint)
+            raise self._refuse(progress, now)
         placing = self._placing(call, now)
         chosen = self._tools.balancer.choose(candidates, placing)
         progress.others = len(candidates) - 1
@@ -213,6 +220,7 @@
         progress: CallProgress,
         kind: ErrorKind,
         error: Exception | None = None,
+        retry_seconds: float = _RETURN_SECONDS,
     ) -> RequestFailedError:
         """Return the end of a call that failed, and log it."""
         call = progress.call
@@ -234,7 +242,7 @@
         self._tools.metrics.count('calls_failed', kind.value)
         # Calls that were refused at the same moment come back spread out.
         spread = _RETURN_SPREAD * self._tools.random.random()
-        return RequestFailedError(kind, retry_seconds=_RETURN_SECONDS + spread)
+        return RequestFailedError(kind, retry_seconds=retry_seconds + spread)
 
     @contextmanager
     def book(self, progress: CallProgress, leg: Leg) -> Iterator[Booking]:
@@ -242,6 +250,7 @@
         now = self._now()
         call = progress.call
         leg.backend.cold_limit.note(now)
+        self._tools.count_call(leg.backend)
         progress.sends += 1
         if leg.resumption is not None:
             self._budget(call.service).spend(now)
@@ -331,6 +340,13 @@
             booking.backend.note_failure(now)
 
     def _candidates(self, progress: CallProgress, now: float) -> list[Backend]:
+        return [
+            backend
+            for backend in self._untried(progress, now)
+            if not backend.call_limit.find_wait(now)
+        ]
+
+    def _untried(self, progress: CallProgress, now: float) -> list[Backend]:
         return [
             backend
             for backend in self._tools.backends.usable(progress.call.service)
@@ -338,6 +354,19 @@
             and self._bears(backend, now)
         ]
 
+    def _refuse(self, progress: CallProgress, now: float) -> RequestFailedError:
+        """Return the end of a call that no back end may get now."""
+        waits = [
+            backend.call_limit.find_wait(now)
+            for backend in self._untried(progress, now)
+        ]
+        if not waits:
+            return self.end(progress, ErrorKind.no_endpoint)
+        # All of them have got what they take.
+        return self.end(
+            progress, ErrorKind.overloaded, retry_seconds=min(waits)
+        )
+
     def _placing(self, call: DirectCall, now: float) -> Placing:
         domain = self._rules.failure_domain
         tokens = self._tokens(call)
--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -45,6 +45,7 @@
         wire.PairsAsk: 25,
         wire.PairsTold: 26,
         wire.CallPlaced: 27,
+        wire.LimitTold: 28,
     }
 )
 _TYPES = MappingProxyType({code: kind for kind, code in _CODES.items()})
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -204,6 +204,8 @@
                 self.server.send_to_some(message, _MOST_ASKED, but=link)
             case wire.PairsTold():
                 self._pass_on(message, link)
+            case wire.LimitTold():
+                self.server.broadcast(message, but=link)
 
     async def run_naming(self) -> None:
         """Learn the engine's name, for announcements, until cancelled.
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -99,6 +99,7 @@
 
     def room(self, service: str) -> list[wire.EngineRoom]:
         """Return the engines of a service that can take generations in."""
+        now = self._clock.monotonic()
         return [
             wire.EngineRoom(
                 backend.record.address,
@@ -106,7 +107,7 @@
                 _free_tokens(backend),
             )
             for backend in self._backends.usable(service)
-            if _has_slot(backend)
+            if _has_slot(backend) and not backend.call_limit.find_wait(now)
         ]
 
     def take_found(self, found: wire.EngineFound) -> bool:
@@ -133,13 +134,20 @@
             self.update()
         return is_new
 
-    def send_to_one(self, message: Message) -> None:
-        """Send a message on one of the links, another one each time."""
+    def send_to_one(self, message: Message) -> bool:
+        """Send a message on one of the links, another one each time.
+
+        Returns
+        -------
+        bool
+            False when no link is connected.
+        """
         for address, link in list(self._links.items()):
             if link.send(message):
                 # To the end, so that the next message takes another one.
                 self._links[address] = self._links.pop(address)
-                return
+                return True
+        return False
 
     def announce_call(
         self, backend: Backend, name: str, unread: int, whole: int
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -242,6 +242,39 @@
     key: Annotated[str, Meta(max_length=200)]
 
 
+class LimitTold(Struct, array_like=True):
+    """
+    What a back end said of its limit, and calls that the sender sent it.
+    """
+
+    endpoint: Annotated[str, Meta(description="The back end's name.")]
+    """
+    The back end's name.
+    """
+    rate: (
+        Annotated[
+            Rate,
+            Meta(
+                description='Calls a second that it takes from all entries together; null without a limit.'
+            ),
+        ]
+        | None
+    )
+    """
+    Calls a second that it takes from all entries together; null without a limit.
+    """
+    age_ms: Annotated[int, Meta(description='Since the back end said so.', ge=0)]
+    """
+    Since the back end said so.
+    """
+    calls: Annotated[
+        int, Meta(description='Calls that were sent to it and not told before.', ge=0)
+    ]
+    """
+    Calls that were sent to it and not told before.
+    """
+
+
 class Load(Struct, array_like=True):
     """
     An endpoint's load as it last knew it.
@@ -341,6 +374,18 @@
     wait_ms: int
 
 
+Rate: TypeAlias = Annotated[
+    float,
+    Meta(
+        description='Calls a second that it takes from all entries together; null without a limit.',
+        ge=0.0,
+    ),
+]
+"""
+Calls a second that it takes from all entries together; null without a limit.
+"""
+
+
 class Reply(Struct, array_like=True):
     """
     A plain service's whole answer.
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from .. import gen_wire as wire
 from ..backendset import BackendSet
 from ..balancing import LeastPressed
 from ..calllimits import CallLimits
@@ -70,8 +71,6 @@
         self._entries = EntryCount(_ASSUMED_ENTRIES)
         self._backends = BackendSet(self._entries)
         self._notices = NoticeBoard()
-        self._limits = CallLimits(self._clock)
-        self._transport = HttpTransport(self._clock, self._limits.note_answer)
         self._store = PlatformStore(settings.store, _STORE_SECONDS)
         self._engines = EngineView(
             backends=self._backends,
@@ -85,6 +84,14 @@
             link_port=settings.link_port,
             handle_other=self._hear,
         )
+        self._limits = CallLimits(
+            self._backends,
+            self._entries,
+            self._clock,
+            make_random(),
+            self._engines.send_to_one,
+        )
+        self._transport = HttpTransport(self._clock, self._limits.note_answer)
         self._beliefs = Beliefs(
             self._tables, self._backends, self._clock, self._engines.update
         )
@@ -156,6 +163,7 @@
                 clock=self._clock,
                 metrics=self._metrics,
                 announce=self._engines.announce_call,
+                count_call=self._limits.note_call,
             )
         )
         tools = RelayTools(
@@ -175,7 +183,10 @@
         )
 
     def _hear(self, message: Message, link: Link) -> None:
-        self._reader.handle(message, link)
+        if isinstance(message, wire.LimitTold):
+            self._limits.take_told(message)
+        else:
+            self._reader.handle(message, link)
 
     def _watch_metrics(self) -> None:
         watch = self._metrics.watch
--- a/primrosewood/shares.py
+++ b/primrosewood/shares.py
@@ -3,6 +3,8 @@
 Entries do not ask each other before they spend: on a day with cuts there is
 nobody to ask.  Each spends its share of the sum, by the number of entries
 that it last heard of, and keeps a margin for an entry that has just come.
+A limit of a few calls a second has no shares to divide; there each tells the
+others what it has spent.
 """
 
 from collections import deque
@@ -21,6 +23,12 @@
 # Calls are counted where they arrive, so two bursts that were a second apart
 # when they were sent may be nearer to each other: count a little longer.
 _COLD_WINDOW_SECONDS = 1.2
+# A named limit may be used at once for so many seconds after a pause.
+_BURST_SECONDS = 1.0
+# Room for one call and what is held back.
+_LEAST_BURST = 2.0
+# Calls a second that show whether a limit near zero still holds.
+_LEAST_RATE = 0.1
 
 
 class EntryCount:
@@ -131,12 +139,20 @@
 
 
 class CallLimit:
-    """Calls a second that a back end takes from all entries together."""
+    """Calls a second that a back end takes from all entries together.
+
+    A token bucket that the calls of every entry empty: this entry's own as
+    they are sent, those of others as they are told.  What is told too late
+    leaves a debt, so that the sum keeps to the rate.
+    """
 
     def __init__(self) -> None:
         """Start without a limit."""
         self._rate: float | None = None
         self._heard_at = float('-inf')
+        self._tokens = 0.0
+        self._filled_at = 0.0
+        self._held_back = 0.0
 
     @property
     def rate(self) -> float | None:
@@ -148,19 +164,57 @@
         """When the back end last said so, in monotonic seconds."""
         return self._heard_at
 
-    def take(self, rate: float | None, heard_at: float) -> bool:
+    def take(self, rate: float | None, heard_at: float, now: float) -> bool:
         """Note what the back end said; tell whether the limit changes.
 
         Parameters
         ----------
         rate
             Calls a second, None for no limit.
-        heard_at
+        heard_at, now
             Monotonic seconds; what was heard before the last news is old.
         """
         if heard_at < self._heard_at:
             return False
+        if self._rate is None:
+            # It has just got calls that were not counted.
+            self._tokens = 0
+            self._filled_at = now
+        else:
+            self._fill(now)
         changed = rate != self._rate
         self._rate = rate
         self._heard_at = heard_at
         return changed
+
+    def count(self, calls: int, now: float) -> None:
+        """Count calls that were sent."""
+        if self._rate is not None:
+            self._fill(now)
+            self._tokens -= calls
+
+    def hold_back(self, share: float) -> None:
+        """Leave a share of a token until more have come.
+
+        All entries see a new token at the same moment; shares drawn at random
+        let one of them take it and tell the others.
+        """
+        self._held_back = share
+
+    def find_wait(self, now: float) -> float:
+        """Return the seconds until a call may be sent, 0 for at once."""
+        if self._rate is None:
+            return 0
+        self._fill(now)
+        missing = 1 + self._held_back - self._tokens
+        return max(0, missing / self._pace())
+
+    def _fill(self, now: float) -> None:
+        pace = self._pace()
+        most = max(_LEAST_BURST, pace * _BURST_SECONDS)
+        earned = (now - self._filled_at) * pace
+        self._tokens = min(most, self._tokens + earned)
+        self._filled_at = now
+
+    def _pace(self) -> float:
+        return max(_LEAST_RATE, self._rate)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -283,6 +283,24 @@
         self.assertEqual(ErrorKind.no_endpoint, kind)
         self.assertEqual([], self.transport.legs)
 
+    async def test_all_have_got_what_they_take(self):
+        """Each back end has named a limit, and all of them are used up.
+
+        Guards against callers who wait for their turn, or are told to come
+        back before there is one.
+        """
+        now = self.clock.monotonic()
+        for rate, backend in zip(
+            (0.5, 0.25, 0.2), self.backends.backends, strict=True
+        ):
+            backend.call_limit.take(rate, now, now)
+        call = self.make_call(RouteKind.non_idempotent)
+        with self.assertRaises(RequestFailedError) as caught:
+            await self.answer(call)
+        self.assertEqual(ErrorKind.overloaded, caught.exception.kind)
+        self.assertAlmostEqual(2.25, caught.exception.retry_seconds, delta=0.3)
+        self.assertEqual([], self.transport.legs)
+
 
 class StreamTest(_Cases):
     """Streams, and what becomes of them when engines go."""
