Hold back more of a named limit where many entries share it

What callers would see: 27 entries whose messages to each other are late, as links lose packets, take the same call of a limit before they hear of each other.

Change: up to one token for nine entries is held back, three at most. After a pause a back end in need may get four calls at once, within what it allows.

--- a/primrosewood/calllimits.py
+++ b/primrosewood/calllimits.py
@@ -82,8 +82,9 @@
             self._count(backend, told.calls)
 
     def _count(self, backend: Backend, calls: int) -> None:
-        backend.call_limit.count(calls, self._clock.monotonic())
-        backend.call_limit.hold_back(self._random.random())
+        limit = backend.call_limit
+        limit.count(calls, self._clock.monotonic())
+        limit.hold_back(self._random.random(), self._entries.count)
 
     def _take(self, backend: Backend, rate: float | None, age: float) -> bool:
         now = self._clock.monotonic()
--- a/primrosewood/shares.py
+++ b/primrosewood/shares.py
@@ -25,8 +25,11 @@
 _COLD_WINDOW_SECONDS = 1.2
 # A named limit may be used at once for so many seconds after a pause.
 _BURST_SECONDS = 1.0
-# Room for one call and what is held back.
-_LEAST_BURST = 2.0
+# Tokens that an entry may hold back: one for so many entries, and no more than
+# leave room for a call.
+_ENTRIES_A_TOKEN = 9
+_MOST_HELD_BACK = 3.0
+_LEAST_BURST = 1 + _MOST_HELD_BACK
 # Calls a second that show whether a limit near zero still holds.
 _LEAST_RATE = 0.1
 
@@ -193,13 +196,21 @@
             self._fill(now)
             self._tokens -= calls
 
-    def hold_back(self, share: float) -> None:
-        """Leave a share of a token until more have come.
+    def hold_back(self, draw: float, entries: int) -> None:
+        """Leave some tokens until more have come.
 
-        All entries see a new token at the same moment; shares drawn at random
-        let one of them take it and tell the others.
+        All entries see a new token at the same moment; holding back a random
+        part lets one of them take it and tell the others.
+
+        Parameters
+        ----------
+        draw
+            A number in [0, 1).
+        entries
+            How many there are.
         """
-        self._held_back = share
+        spread = max(1, entries / _ENTRIES_A_TOKEN)
+        self._held_back = draw * min(_MOST_HELD_BACK, spread)
 
     def find_wait(self, now: float) -> float:
         """Return the seconds until a call may be sent, 0 for at once."""
--- a/tests/test_calllimits.py
+++ b/tests/test_calllimits.py
@@ -22,14 +22,15 @@
 class Crowd:
     """Entries with callers who always wait, and one back end in need."""
 
-    def __init__(self, entries, rate, seed):
+    def __init__(self, entries, rate, seed, told_seconds=TOLD_SECONDS):
+        self._told_seconds = told_seconds
         self._random = random.Random(seed)
         self._limits = [CallLimit() for _ in range(entries)]
         self._told = []
         self.sent = []
         for limit in self._limits:
             limit.take(rate, 0, 0)
-            limit.hold_back(self._random.random())
+            self._hold_back(limit)
 
     def play(self, demand, seconds):
         now = 0.0
@@ -40,7 +41,7 @@
             if not limit.find_wait(now):
                 self._count(limit, now)
                 self.sent.append(now)
-                told = (now + TOLD_SECONDS, len(self.sent), limit)
+                told = (now + self._told_seconds, len(self.sent), limit)
                 heapq.heappush(self._told, told)
 
     def most_in_window(self):
@@ -58,7 +59,10 @@
 
     def _count(self, limit, now):
         limit.count(1, now)
-        limit.hold_back(self._random.random())
+        self._hold_back(limit)
+
+    def _hold_back(self, limit):
+        limit.hold_back(self._random.random(), len(self._limits))
 
 
 class CallLimitTest(unittest.TestCase):
@@ -96,6 +100,17 @@
             with self.subTest(seed):
                 self.assertLessEqual(crowd.most_in_window(), 8)
 
+    def test_calls_that_are_told_late(self):
+        """Links lose packets, and entries hear of each other late.
+
+        Guards against entries that take what others have taken meanwhile.
+        """
+        for seed in range(6):
+            crowd = Crowd(27, 1.8, seed, told_seconds=0.2)
+            crowd.play(150, 20)
+            with self.subTest(seed):
+                self.assertLessEqual(crowd.most_in_window(), 15)
+
     def test_limit_of_none(self):
         """A back end takes no calls at all for now.
 
@@ -154,7 +169,7 @@
 
     async def test_calls_of_others_count(self):
         self.tell(2.0, age_ms=0, calls=10)
-        self.assertAlmostEqual(5.5, self.wait(), delta=0.6)
+        self.assertAlmostEqual(5.5, self.wait(), delta=0.51)
 
     async def test_calls_that_cannot_be_told(self):
         """No process that passes messages on can be reached.
