Let a back end in need take part in the restarts under load

The soak of restarted entries had no back end that names a limit. One of its two plain back ends now takes two calls a second, and a check counts what entries, old and just started, send it in any 4 s from 3 s after its first answer.

--- a/tests/processes/restarts/checks.py
+++ b/tests/processes/restarts/checks.py
@@ -10,6 +10,11 @@
 _LAST_SECONDS = STOP_SECONDS * 5 / 6
 # Two misses in a row fit in before the fourth second.
 _STILL_READY_SECONDS = 2
+# From the first answer that names a limit until it must be kept.
+_LIMIT_SECONDS = 3
+_LIMIT_WINDOW_SECONDS = 4
+_LIMIT_FACTOR = 1.5
+_LIMIT_SLACK = 5
 
 
 class Checks:
@@ -27,6 +32,8 @@
             self._check_runs(call)
         for life in self._history.lives:
             self._check_stop(life)
+        for backend, named in self._history.limits.items():
+            self._check_limit(backend, named)
         return self.faults
 
     def _check_end(self, call):
@@ -102,6 +109,22 @@
         if life.since_stop(life.last_ready) > _STILL_READY_SECONDS:
             self.faults.append(f'{life.entry}: ready long after SIGTERM')
 
+    def _check_limit(self, backend, named):
+        """A back end gets what it takes, from old and new entries alike."""
+        since = named.first_at + _LIMIT_SECONDS
+        began = [at for at in self._history.begun_at(backend) if at >= since]
+        most = named.rate * _LIMIT_WINDOW_SECONDS * _LIMIT_FACTOR + _LIMIT_SLACK
+        for first in began:
+            count = sum(
+                first <= at < first + _LIMIT_WINDOW_SECONDS for at in began
+            )
+            if count > most:
+                self.faults.append(
+                    f'{backend}: {count} calls in {_LIMIT_WINDOW_SECONDS} s, '
+                    f'{most} allowed'
+                )
+                return
+
     def _expect(self, call, holds, why):
         if holds:
             return
--- a/tests/processes/restarts/history.py
+++ b/tests/processes/restarts/history.py
@@ -13,6 +13,7 @@
 STOP_SECONDS = 8
 # The balancer has noticed a stop, whatever the phase of its questions.
 NOTICED_SECONDS = 3
+LIMIT = 'Server-Limit'
 
 _EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)\n\n')
 
@@ -142,12 +143,22 @@
     ended: float | None = None
 
 
+@dataclass(frozen=True)
+class Named:
+    """Calls a second that a back end takes from all entries together."""
+
+    rate: float
+    first_at: float
+
+
 @dataclass
 class History:
     """All that was seen from outside.
 
     Attributes
     ----------
+    limits
+        What back ends named, by their names.
     lag
         Longest time for which callers and back ends stood still.
     """
@@ -155,6 +166,7 @@
     lag: float = 0
     lives: list[Life] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
+    limits: dict[str, Named] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -163,6 +175,15 @@
         """Return the runs of a call."""
         return self.runs.get(call.name, [])
 
+    def begun_at(self, backend):
+        """Return when a back end's runs began, in order."""
+        return sorted(
+            run.began
+            for runs in self.runs.values()
+            for run in runs
+            if run.backend == backend
+        )
+
     def summarize(self):
         """Return how the stops and calls ended, calls late in a stop apart.
 
--- a/tests/processes/restarts/parts.py
+++ b/tests/processes/restarts/parts.py
@@ -22,7 +22,15 @@
 
 from ..harness import free_port
 from ..test_platform import make_settings
-from .history import ATTEMPT, SEAL, STOP_SECONDS, Life, Run
+from .history import (
+    ATTEMPT,
+    LIMIT,
+    SEAL,
+    STOP_SECONDS,
+    Life,
+    Named,
+    Run,
+)
 
 _ROOT = Path(__file__).resolve().parents[3]
 _START_SECONDS = 15
@@ -36,18 +44,25 @@
     ----------
     pace
         Seconds for each event.
+    limit
+        Calls a second that its answers name, None for no limit.
     """
 
-    def __init__(self, name, history, pace=0.0):
+    def __init__(self, name, history, pace=0.0, limit=None):
         self._name = name
         self._history = history
         self._pace = pace
+        self._limit = limit
 
     async def handle(self, request):
         name = request.headers[ATTEMPT]
         run = Run(name, self._name, time.monotonic())
         self._history.runs[name].append(run)
         headers = {ATTEMPT: name, SEAL: f'{self._name}.{name}'}
+        if self._limit is not None:
+            headers[LIMIT] = str(self._limit)
+            named = Named(self._limit, run.began)
+            self._history.limits.setdefault(self._name, named)
         _, kind, size = request.path.split('/')
         try:
             if kind == 'stream':
--- a/tests/processes/test_platform_restarts.py
+++ b/tests/processes/test_platform_restarts.py
@@ -42,6 +42,7 @@
     End,
     History,
     Life,
+    Named,
     Run,
     Work,
 )
@@ -60,6 +61,8 @@
 }
 
 _ENTRIES = 3
+# Calls a second that one of the two plain back ends takes.
+_LIMIT = 2.0
 _REFUSAL = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -173,6 +176,14 @@
         self.life.ended_at, self.life.code = 108.01, -9
         self.assert_found('entry-0')
 
+    def test_back_end_over_its_limit(self):
+        """Twenty calls in 4 s at a back end that takes two a second."""
+        self.history.limits['i-1'] = Named(2.0, 90)
+        for number in range(20):
+            run = Run(f'b-{number}', 'i-1', 95 + number * 0.1)
+            self.history.runs[run.name].append(run)
+        self.assert_found('i-1')
+
     def test_entry_ready_long_after_its_signal(self):
         self.life.last_ready = 103
         self.assert_found('entry-0')
@@ -248,8 +259,8 @@
             name = f'i-{number}'
             engine = Backend(name, history, random.uniform(0.007, 0.011))
             await serve_backend(stack, store, 'model', engine, name)
-        for name in ('desk-0', 'desk-1'):
-            desk = Backend(name, history)
+        for name, limit in (('desk-0', None), ('desk-1', _LIMIT)):
+            desk = Backend(name, history, limit=limit)
             await serve_backend(stack, store, 'desk', desk, name)
         entries = [
             Entry(f'entry-{number}', address, folder, history)
