--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -11,6 +11,7 @@
 
 from .backendset import Backend, BackendSet
 from .balancing import Balancer, BookedTokens, Booking, Placing
+from .callprogress import CallProgress
 from .clock import Clock, RandomSource
 from .directcalls import DirectCall, Leg
 from .enginepace import ReadingPace
@@ -21,14 +22,13 @@
     NotRunError,
     RequestFailedError,
 )
-from .events import StreamOrder
 from .lengths import LengthBook
 from .logs import log_decision
 from .metrics import Metrics
 from .routes import EngineTraits, TableHolder
 from .shares import EntryCount, RepeatBudget, RepeatRule
 
-__all__ = ('CallPlacement', 'CallProgress', 'PlacementTools', 'RelayRules')
+__all__ = ('CallPlacement', 'PlacementTools', 'RelayRules')
 
 # Sends of one call, whatever the budget: a call that three back ends refused
 # is better off with an honest refusal and a time to come back.
@@ -92,46 +92,6 @@
     count_call: Callable[[Backend], None] = _count_nothing
 
 
-@dataclass(slots=True)
-class CallProgress:
-    """One call on its way.
-
-    Attributes
-    ----------
-    ran
-        Back ends that may have run it.
-    refused
-        Back ends that did not take it, or failed.
-    begun
-        Whether part of the answer was handed on.
-    others
-        Back ends that could have been chosen in place of the last one.
-    first_event, longest_pause
-        Seconds from the arrival to the first event handed on, and between two
-        of them.
-    """
-
-    call: DirectCall
-    sends: int = 0
-    ran: int = 0
-    refused: set[str] = field(default_factory=set)
-    order: StreamOrder = field(default_factory=StreamOrder)
-    begun: bool = False
-    others: int = 0
-    first_event: float | None = None
-    longest_pause: float = 0
-    _event_at: float = 0
-
-    def note_event(self, now: float) -> None:
-        """Note that events are handed on."""
-        if self.first_event is None:
-            self.first_event = now - self.call.arrived
-        else:
-            pause = now - self._event_at
-            self.longest_pause = max(self.longest_pause, pause)
-        self._event_at = now
-
-
 class CallPlacement:
     """Chooses a back end for each call, and decides on repeats."""
 
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -5,7 +5,8 @@
 
 from .backendset import Backend
 from .balancing import Booking
-from .callplacement import CallPlacement, CallProgress
+from .callplacement import CallPlacement
+from .callprogress import CallProgress
 from .clock import Clock
 from .directcalls import (
     AnswerHead,
