Part the moves off an engine from the process that follows it

`enginemover` orders the moves, `movableengine` holds what both know of an engine; the keeper follows and tells. Its room and its record of what is settled are no longer between reports and names. Behaviour is the same: the tests of the keeper, the endpoint's stop and the whole path passed with their assertions.

--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -4,13 +4,14 @@
 
 from ..clock import SystemClock, make_random
 from ..codec import Message
-from ..enginekeeper import EngineKeeper, KeeperPlace
+from ..enginekeeper import EngineKeeper
 from ..gen_node import NodeSettings
 from ..httpserver import listen_metrics
 from ..identity import make_identifier
 from ..link import Link
 from ..logs import log_event
 from ..metrics import Metrics
+from ..movableengine import EnginePlace
 from ..peerlink import LinkIdentity, PeerLink, PeerServer
 from ..process import spawn
 from .engines import HttpMovableEngine
@@ -36,7 +37,7 @@
         self._stop_seconds = settings.limits.stop_seconds
         self._metrics = Metrics()
         self._engine = HttpMovableEngine(settings.endpoint.engine)
-        place = KeeperPlace(settings.endpoint.service, settings.failure_domain)
+        place = EnginePlace(settings.endpoint.service, settings.failure_domain)
         self._keeper = EngineKeeper(
             self._engine, place, SystemClock(), self._metrics, make_random()
         )
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -16,9 +16,9 @@
 from ..backendset import Backend, EngineState
 from ..clock import Clock
 from ..directcalls import DirectCall, Header, Leg
-from ..enginekeeper import EngineReading
 from ..errors import BackendCutError, ErrorKind, MisdirectedError, NotRunError
 from ..httpclient import never_repeat
+from ..movableengine import EngineReading
 from ..moves import EngineRun
 from . import headers
 
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -8,13 +8,10 @@
 from primrosewood import gen_wire as wire
 from primrosewood.backendset import EngineState
 from primrosewood.clock import SystemClock
-from primrosewood.enginekeeper import (
-    EngineKeeper,
-    EngineReading,
-    KeeperPlace,
-)
+from primrosewood.enginekeeper import EngineKeeper
 from primrosewood.errors import BackendCutError, ErrorKind, NotRunError
 from primrosewood.metrics import Metrics
+from primrosewood.movableengine import EnginePlace, EngineReading
 from primrosewood.moves import EngineRun
 
 ROOM = wire.RoomTold([wire.EngineRoom('b:1', 'd1', 20_000)])
@@ -95,7 +92,7 @@
         self.server = FakeServer()
         self.keeper = EngineKeeper(
             self.engine,
-            KeeperPlace('s', 'd1'),
+            EnginePlace('s', 'd1'),
             SystemClock(),
             Metrics(),
             Random(1),
