Hold back a share of the first token of a limit too

Entries hear of a limit within milliseconds of each other and start with the same empty bucket. Found by reading the change again: only counted calls drew what an entry holds back, so all of them would have taken the first token. The new test fails without the change: the wait is 0.5 s for everyone.

--- a/primrosewood/calllimits.py
+++ b/primrosewood/calllimits.py
@@ -12,7 +12,7 @@
 from .clock import Clock, RandomSource
 from .codec import Message
 from .logs import log_decision
-from .shares import EntryCount
+from .shares import CallLimit, EntryCount
 
 __all__ = ('CallLimits',)
 
@@ -84,6 +84,9 @@
     def _count(self, backend: Backend, calls: int) -> None:
         limit = backend.call_limit
         limit.count(calls, self._clock.monotonic())
+        self._hold_back(limit)
+
+    def _hold_back(self, limit: CallLimit) -> None:
         limit.hold_back(self._random.random(), self._entries.count)
 
     def _take(self, backend: Backend, rate: float | None, age: float) -> bool:
@@ -91,6 +94,7 @@
         before = backend.call_limit.rate
         changed = backend.call_limit.take(rate, now - age, now)
         if changed:
+            self._hold_back(backend.call_limit)
             log_decision(
                 'limit_lifted' if rate is None else 'limit_named',
                 endpoint=backend.name,
--- a/tests/test_calllimits.py
+++ b/tests/test_calllimits.py
@@ -167,6 +167,14 @@
         (told,) = self.told
         self.assertEqual(('i-1', 2, 3), (told.endpoint, told.rate, told.calls))
 
+    async def test_entries_that_hear_of_a_limit_at_once(self):
+        """All entries hear at the same moment that a back end is in need.
+
+        Guards against entries that all wait equally long for its first token.
+        """
+        self.name(2.0)
+        self.assertGreater(self.wait(), 0.5)
+
     async def test_calls_of_others_count(self):
         self.tell(2.0, age_ms=0, calls=10)
         self.assertAlmostEqual(5.5, self.wait(), delta=0.51)
