--- a/tests/test_calllimits.py
+++ b/tests/test_calllimits.py
@@ -20,7 +20,7 @@
 
 
 class Crowd:
-    """Entries with callers who always wait, and one back end in need."""
+    """Entries with callers who always wait, and one back end with a limit."""
 
     def __init__(self, entries, rate, seed, told_seconds=TOLD_SECONDS):
         self._told_seconds = told_seconds
@@ -78,11 +78,7 @@
     def test_sum_over_entries_keeps_to_the_rate(
         self, entries, rate, demand, seed
     ):
-        """A back end in need behind entries with more calls than it takes.
-
-        Guards against a sum beyond what the back end named, and against one
-        that leaves its callers without what it would have taken.
-        """
+        """Guards against a sum beyond the limit, and against idle back ends."""
         crowd = Crowd(entries, rate, seed)
         crowd.play(demand, 20)
         allowed = 1.5 * rate * WINDOW_SECONDS + 5
@@ -90,10 +86,7 @@
         self.assertGreaterEqual(len(crowd.sent), 0.75 * rate * 20 - 2)
 
     def test_entries_that_see_the_same_token(self):
-        """A herd of callers waits for the next call that is allowed.
-
-        Guards against entries that all take it before they hear of each other.
-        """
+        """Guards against entries that all take the token they wait for."""
         for seed in range(5):
             crowd = Crowd(27, 0.5, seed)
             crowd.play(500, 20)
@@ -101,10 +94,7 @@
                 self.assertLessEqual(crowd.most_in_window(), 8)
 
     def test_calls_that_are_told_late(self):
-        """Links lose packets, and entries hear of each other late.
-
-        Guards against entries that take what others have taken meanwhile.
-        """
+        """Guards against overuse while links delay what entries tell."""
         for seed in range(6):
             crowd = Crowd(27, 1.8, seed, told_seconds=0.2)
             crowd.play(150, 20)
@@ -112,10 +102,7 @@
                 self.assertLessEqual(crowd.most_in_window(), 15)
 
     def test_limit_of_none(self):
-        """A back end takes no calls at all for now.
-
-        Guards against entries that would never learn that this is over.
-        """
+        """Guards against entries that never learn that a limit of 0 is over."""
         limit = CallLimit()
         limit.take(0.0, 0, 0)
         self.assertEqual(10, limit.find_wait(0))
@@ -168,10 +155,7 @@
         self.assertEqual(('i-1', 2, 3), (told.endpoint, told.rate, told.calls))
 
     async def test_entries_that_hear_of_a_limit_at_once(self):
-        """All entries hear at the same moment that a back end is in need.
-
-        Guards against entries that all wait equally long for its first token.
-        """
+        """Guards against entries that all wait equally long at first."""
         self.name(2.0)
         self.assertGreater(self.wait(), 0.5)
 
@@ -180,11 +164,7 @@
         self.assertAlmostEqual(5.5, self.wait(), delta=0.51)
 
     async def test_calls_that_cannot_be_told(self):
-        """No process that passes messages on can be reached.
-
-        Guards against entries that each use the whole rate while they do not
-        hear of each other: a call counts for all five.
-        """
+        """Guards against unlinked entries that each use the whole rate."""
         self.linked = False
         self.name(2.0)
         self.limits.note_call(self.backend)
@@ -192,10 +172,7 @@
         self.assertAlmostEqual(3, self.wait(), delta=0.6)
 
     async def test_answer_that_was_overtaken(self):
-        """An answer without a limit comes after a later one that names it.
-
-        Guards against a limit that is lifted by old news, told or heard.
-        """
+        """Guards against a limit that old news lifts."""
         before = self.clock.monotonic()
         self.name(2.0)
         self.limits.note_answer(self.backend, None, before)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -125,11 +125,7 @@
                 await self.fetch(address)
 
     async def test_limits_that_answers_name(self):
-        """A back end names a limit, and one answer tells it wrong.
-
-        Taken from an answer to another call, or lifted by a failure that
-        leaves it out, the limit of a back end in need would not be kept.
-        """
+        """Guards against limits of stray answers, or lifted by failures."""
         limit = b'Server-Limit: 1.8\r\n'
         other = MARKS.replace(b'ab12', b'cd34')
         marked = b'HTTP/1.1 503 Busy\r\nPrimrosewood-Not-Executed: 1\r\n'
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -1,4 +1,4 @@
-"""Back ends that name how many calls they take from all entries together."""
+"""Limits that back ends name for the calls of all entries together."""
 
 import asyncio
 import time
@@ -30,7 +30,7 @@
 
 
 class NamedLimitTest(Deployment):
-    """Three entries before two copies of a service, one of them in need."""
+    """Three entries before two copies of a service, one with a limit."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -79,12 +79,8 @@
             await asyncio.sleep(pause)
         return statuses
 
-    async def test_calls_of_all_entries_to_a_back_end_in_need(self):
-        """A copy of the issuing service names a limit of two calls a second.
-
-        Guards against entries that do not read it, or each keep to it alone:
-        the copy in need then gets three times what it takes, or all of it.
-        """
+    async def test_calls_of_all_entries_to_a_limited_back_end(self):
+        """Guards against a limit that entries ignore, or each keep alone."""
         self.service.limit = RATE
         named_at = time.monotonic()
         seconds = NOTICE_SECONDS + WINDOW_SECONDS + 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -284,11 +284,7 @@
         self.assertEqual([], self.transport.legs)
 
     async def test_all_have_got_what_they_take(self):
-        """Each back end has named a limit, and all of them are used up.
-
-        Guards against callers who wait for their turn, or are told to come
-        back before there is one.
-        """
+        """Guards against callers who wait, or return before there is room."""
         now = self.clock.monotonic()
         for rate, backend in zip(
             (0.5, 0.25, 0.2), self.backends.backends, strict=True
