Start further entries and count windows of calls in one place in the tests

Two tests started a second entry with the same lines, now `Deployment.add_entry`; calls in a sliding window were counted in three places, now `most_in_window`. Bounds and assertions are as they were.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -154,6 +154,22 @@
         )
         return self.run_node(EntryNode(settings), stop)
 
+    async def add_entry(self, name):
+        """Start one more entry; calls go to it from now on."""
+        self.callers = f'127.0.0.1:{free_port()}'
+        self.ready = f'127.0.0.1:{free_port()}'
+        settings = self.make_settings(
+            name,
+            '127.0.0.1',
+            entry=EntrySettings(
+                callers=self.callers,
+                ready=self.ready,
+                peers=f'127.0.0.1:{free_port()}',
+            ),
+        )
+        self.run_node(EntryNode(settings), asyncio.Event())
+        await self.wait_ready()
+
     def run_node(self, node, stop):
         task = asyncio.create_task(node.run(stop))
 
--- a/tests/processes/restarts/checks.py
+++ b/tests/processes/restarts/checks.py
@@ -1,5 +1,6 @@
 """What must hold of a run, from what was seen outside."""
 
+from ...windows import most_in_window
 from .history import ATTEMPT, NOTICED_SECONDS, SEAL, STOP_SECONDS, End
 
 # Statuses that promise: not run, and never will be.
@@ -114,16 +115,12 @@
         since = named.first_at + _LIMIT_SECONDS
         began = [at for at in self._history.begun_at(backend) if at >= since]
         most = named.rate * _LIMIT_WINDOW_SECONDS * _LIMIT_FACTOR + _LIMIT_SLACK
-        for first in began:
-            count = sum(
-                first <= at < first + _LIMIT_WINDOW_SECONDS for at in began
+        count = most_in_window(began, _LIMIT_WINDOW_SECONDS)
+        if count > most:
+            self.faults.append(
+                f'{backend}: {count} calls in {_LIMIT_WINDOW_SECONDS} s, '
+                f'{most} allowed'
             )
-            if count > most:
-                self.faults.append(
-                    f'{backend}: {count} calls in {_LIMIT_WINDOW_SECONDS} s, '
-                    f'{most} allowed'
-                )
-                return
 
     def _expect(self, call, holds, why):
         if holds:
--- a/tests/test_calllimits.py
+++ b/tests/test_calllimits.py
@@ -14,6 +14,8 @@
 from primrosewood.clock import SystemClock
 from primrosewood.shares import CallLimit, EntryCount
 
+from .windows import most_in_window
+
 WINDOW_SECONDS = 4
 # From a call to its being told everywhere: gathered, sent, passed on.
 TOLD_SECONDS = 0.015
@@ -45,10 +47,7 @@
                 heapq.heappush(self._told, told)
 
     def most_in_window(self):
-        return max(
-            sum(first <= at < first + WINDOW_SECONDS for at in self.sent)
-            for first in self.sent
-        )
+        return most_in_window(self.sent, WINDOW_SECONDS)
 
     def _hear(self, now):
         while self._told and self._told[0][0] <= now:
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -3,11 +3,10 @@
 import asyncio
 import time
 
-from primrosewood.gen_node import EntryNode as EntrySettings
-from primrosewood.platform.entry import EntryNode
 from standins.backends import ServiceStandIn
 
-from .deployment import Deployment, free_port
+from .deployment import Deployment
+from .windows import most_in_window
 
 RATE = 2.0
 # From the first answer that names a limit until it must be kept.
@@ -17,18 +16,6 @@
 MOST_IN_WINDOW = RATE * WINDOW_SECONDS * 1.5 + 5
 
 
-def most_in_window(arrived, since):
-    """Return the most arrivals in any window that begins after a moment."""
-    times = [at for at in arrived if at >= since]
-    return max(
-        (
-            sum(first <= at < first + WINDOW_SECONDS for at in times)
-            for first in times
-        ),
-        default=0,
-    )
-
-
 class NamedLimitTest(Deployment):
     """Three entries before two copies of a service, one with a limit."""
 
@@ -39,25 +26,11 @@
         self.addresses = [self.callers]
         for number in (2, 3):
             await self.add_entry(f'entry-{number}')
+            self.addresses.append(self.callers)
         for address in self.addresses:
             self.callers = address
             await self.wait_for(self.is_served_by_both)
 
-    async def add_entry(self, name):
-        self.ready = f'127.0.0.1:{free_port()}'
-        self.addresses.append(f'127.0.0.1:{free_port()}')
-        settings = self.make_settings(
-            name,
-            '127.0.0.1',
-            entry=EntrySettings(
-                callers=self.addresses[-1],
-                ready=self.ready,
-                peers=f'127.0.0.1:{free_port()}',
-            ),
-        )
-        self.run_node(EntryNode(settings), asyncio.Event())
-        await self.wait_ready()
-
     async def is_served_by_both(self):
         counts = [len(self.service.ran), len(self.second.ran)]
         for _ in range(10):
@@ -67,15 +40,14 @@
         )
 
     async def load(self, seconds, pause):
-        """Send look-ups to the entries in turn and count the statuses."""
+        """Send look-ups to the entries in turn and return the statuses."""
         until = time.monotonic() + seconds
-        statuses = {}
+        statuses = set()
         turn = 0
         while time.monotonic() < until:
             turn += 1
             self.callers = self.addresses[turn % len(self.addresses)]
-            status = await self.status('GET', '/lookup/')
-            statuses[status] = statuses.get(status, 0) + 1
+            statuses.add(await self.status('GET', '/lookup/'))
             await asyncio.sleep(pause)
         return statuses
 
@@ -85,6 +57,8 @@
         named_at = time.monotonic()
         seconds = NOTICE_SECONDS + WINDOW_SECONDS + 1
         statuses = await self.load(seconds, 0.04)
-        self.assertEqual({200}, statuses.keys())
-        most = most_in_window(self.service.arrived, named_at + NOTICE_SECONDS)
+        self.assertEqual({200}, statuses)
+        since = named_at + NOTICE_SECONDS
+        arrived = [at for at in self.service.arrived if at >= since]
+        most = most_in_window(arrived, WINDOW_SECONDS)
         self.assertLessEqual(most, MOST_IN_WINDOW)
--- a/tests/test_platform_peers.py
+++ b/tests/test_platform_peers.py
@@ -1,7 +1,5 @@
 """Entries that hear from each other what one of them cannot read."""
 
-from primrosewood.gen_node import EntryNode as EntrySettings
-from primrosewood.platform.entry import EntryNode
 from standins.store import StoreStandIn
 
 from .deployment import Deployment, asyncio, free_port, make_table
@@ -16,20 +14,8 @@
         self.own_store = StoreStandIn(self.stand_in.store)
         address = f'127.0.0.1:{free_port()}'
         await self.serve(self.own_store.make_app(), address)
-        self.callers = f'127.0.0.1:{free_port()}'
-        self.ready = f'127.0.0.1:{free_port()}'
         self.store_address = address
-        settings = self.make_settings(
-            'entry-2',
-            '127.0.0.1',
-            entry=EntrySettings(
-                callers=self.callers,
-                ready=self.ready,
-                peers=f'127.0.0.1:{free_port()}',
-            ),
-        )
-        self.run_node(EntryNode(settings), asyncio.Event())
-        await self.wait_ready()
+        await self.add_entry('entry-2')
         self.assertEqual(200, await self.status('GET', '/lookup/'))
 
     async def is_moved(self):
