Change the resume token of a test for certain

The character is now replaced by one that differs from it, as test_resume of the module does.

Ruled out: a fault of the resume token's check; any changed character is refused (tests.test_resume, test_any_changed_character).

--- a/tests/processes/test_resume.py
+++ b/tests/processes/test_resume.py
@@ -174,9 +174,11 @@
     async def test_token_of_another_organisation(self):
         """Resume tokens that are invalid or another caller's are refused."""
         original = await self.request(20)
+        first, rest = original.event_id[0], original.event_id[1:]
+        changed = f'{"A" if first != "A" else "B"}{rest}'
         for token, key, kind in (
             (original.event_id, 'key-rhosyn', 'forbidden'),
-            (f'x{original.event_id[1:]}', 'key-gwenallt', 'invalid_request'),
+            (changed, 'key-gwenallt', 'invalid_request'),
             ('AAAA.1', 'key-gwenallt', 'invalid_request'),
             ('\u00e9.5', 'key-gwenallt', 'invalid_request'),
         ):
