Let entries take turns in reading the key-value service

Cause: each entry's next read came 0.4 to 0.6 s after the last update, drawn with equal chances. During an outage every entry called twice a second in vain.

Ruled out: that the reader waits less and the others 0.3 s longer without an order between two readers (they yield to each other and come back together); an elected reader with a lease (nobody reads until it lapses, and renewals cost calls too).

Change: who read last reads again after 0.4 s, the others take over after 0.5 s and a delay that is exponential and cut off, so that few of any number of entries draw a short one. Of two readers the one whose name sorts first goes on; a read that an update overtakes makes no reader. Entries whose last read failed tell all others before they try again. One test is replaced: it waited for the next read of an entry whose read was overtaken, which now need not come; it checks instead that the read was cancelled.

--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -124,7 +124,7 @@
             case wire.RoomTold():
                 self._mover.handle_capacity_reply(message)
             case wire.PairsAsk():
-                self._send_to_some(message, link)
+                self._forward_query(message, link)
             case wire.PairsTold():
                 self._forward_pairs(message, link)
             case wire.LimitTold():
@@ -160,6 +160,12 @@
         else:
             self._broadcast(message, link)
 
+    def _forward_query(self, message: wire.PairsAsk, link: Link) -> None:
+        if message.to_all:
+            self._broadcast(message, link)
+        else:
+            self._send_to_some(message, link)
+
     def _broadcast(self, message: Message, exclude: Link | None = None) -> None:
         self.server.broadcast(message, exclude=exclude)
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -358,6 +358,18 @@
     """
     Latest revision that it knows.
     """
+    to_all: (
+        Annotated[
+            bool,
+            Meta(
+                description="Whether all entries get the message, because the sender's previous read failed and it reads again now; otherwise a few get it."
+            ),
+        ]
+        | UnsetType
+    ) = False
+    """
+    Whether all entries get the message, because the sender's previous read failed and it reads again now; otherwise a few get it.
+    """
 
 
 class PairsTold(Struct, array_like=True):
@@ -387,6 +399,18 @@
     Latest revision that the answering process knows.
     """
     pairs: list[StoredPair]
+    reader: (
+        Annotated[
+            str,
+            Meta(
+                description='Name of the process that sends the changes; empty from older processes.'
+            ),
+        ]
+        | UnsetType
+    ) = ''
+    """
+    Name of the process that sends the changes; empty from older processes.
+    """
 
 
 class Queued(Struct, array_like=True):
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -29,6 +29,7 @@
 from ..moves import MoveNotices
 from ..peerlink import LinkIdentity, PeerServer
 from ..process import spawn
+from ..readschedule import ReadSchedule
 from ..relay import Relay, RelayDependencies
 from ..routes import CallerLimits, TableHolder
 from ..sharedlimits import EntryCount, RepeatRule
@@ -102,7 +103,12 @@
                 self._store, _ALL_KEYS_PREFIX, self._discovery.apply_pair
             ),
             clock=self._clock,
-            random=make_random(),
+            schedule=ReadSchedule(
+                settings.name,
+                self._entries,
+                make_random(),
+                self._clock.monotonic(),
+            ),
             send=self._engines.send_to_one,
             report_available=self._discovery.record_store_result,
         )
--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -4,9 +4,8 @@
 itself, the load would grow with the fleet: 330 entries with a watch and a poll
 each make 900 calls a second, and the service sustains several hundred. Instead,
 an entry that has read sends the changes to the others, which then postpone
-their own next read. There is no leader: the entry whose timer expires first
-reads. An entry that receives no updates, because it or the forwarding processes
-are partitioned, reads on its own as early as if it were alone.
+their own next read (see `readschedule`). An entry that receives no updates,
+because it or the forwarding processes are partitioned, reads on its own.
 
 The service may also refuse some processes and serve others. The refused ones
 get updates from the others all the same, and query them when their own read
@@ -17,23 +16,18 @@
 from collections.abc import Callable
 
 from . import gen_wire as wire
-from .clock import Clock, RandomSource
+from .clock import Clock
 from .codec import Message
 from .errors import StoreUnavailableError, WireError
 from .kv import Change, Pair
 from .link import Link
 from .logs import log_decision, log_event
 from .patches import apply_patch, compress_value, decompress_value, make_patch
+from .readschedule import ReadSchedule
 from .storeview import StoreView
 
 __all__ = ('SharedReader',)
 
-# Time from the last read or update to the next read, plus random jitter of up
-# to half of it, so that entries do not all read at once. Operators' changes
-# must be in force within 2 s of their acceptance; this leaves time for a second
-# read after one that fails by its timeout of 0.7 s.
-_READ_INTERVAL_SECONDS = 0.4
-_READ_JITTER_SHARE = 0.5
 # A failed read is no outage while updates from others are younger than this.
 _STALE_SECONDS = 1.0
 # Recipient of an update that does not reply to one entry's query.
@@ -51,6 +45,8 @@
         Name of this process, to which replies are addressed.
     view
         Reads the service and holds the known keys.
+    schedule
+        Decides when this entry reads next.
     send
         Sends a message to an endpoint process, which forwards it to the other
         entries; uses another endpoint process each time.
@@ -63,25 +59,24 @@
         name: str,
         view: StoreView,
         clock: Clock,
-        random: RandomSource,
+        schedule: ReadSchedule,
         send: Callable[[Message], None],
         report_available: Callable[[bool], None],
     ) -> None:
-        """Create a reader whose first read is due at once."""
+        """Create a reader that has not read yet."""
         self._name = name
         self._view = view
         self._clock = clock
-        self._random = random
+        self._schedule = schedule
         self._send = send
         self._report_available = report_available
-        self._next_read_at = clock.monotonic()
         self._synced_at = float('-inf')
         self._read_timeout: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Read whenever no update from others arrived, until cancelled."""
         while True:
-            delay = self._next_read_at - self._clock.monotonic()
+            delay = self._schedule.next_read_at - self._clock.monotonic()
             if delay > 0:
                 await asyncio.sleep(delay)
                 # An update may have postponed the read meanwhile.
@@ -91,13 +86,15 @@
     def handle(self, message: Message, link: Link) -> None:
         """Handle a query or an update from another entry."""
         if isinstance(message, wire.PairsAsk):
-            self._answer_query(message, link)
+            self._handle_query(message, link)
         elif isinstance(message, wire.PairsTold):
             self._apply_update(message)
 
     async def _read(self) -> None:
         known = self._view.newest
         started_at = self._clock.monotonic()
+        if self._schedule.failed:
+            self._send(wire.PairsAsk(self._name, known, to_all=True))
         try:
             async with asyncio.timeout(None) as read_timeout:
                 self._read_timeout = read_timeout
@@ -105,8 +102,10 @@
         except StoreUnavailableError as error:
             self._handle_read_failure(error)
         except TimeoutError:
+            self._schedule.record_overtaken(self._clock.monotonic())
             log_event('reading_overtaken', 'DEBUG', newest=self._view.newest)
         else:
+            self._schedule.record_read(started_at)
             self._mark_synced(started_at)
             self._send(self._make_update(_ALL_ENTRIES, known))
         finally:
@@ -114,25 +113,31 @@
 
     def _handle_read_failure(self, error: StoreUnavailableError) -> None:
         now = self._clock.monotonic()
-        self._schedule_read(now)
-        if now - self._synced_at > _STALE_SECONDS:
+        failed_before = self._schedule.failed
+        self._schedule.record_failure(now)
+        if self._is_stale(now):
             log_event('reading_failed', 'WARNING', why=error)
             self._report_available(False)
-        self._send(wire.PairsAsk(self._name, self._view.newest))
+        if not failed_before:
+            self._send(wire.PairsAsk(self._name, self._view.newest))
+
+    def _is_stale(self, now: float) -> bool:
+        return now - self._synced_at > _STALE_SECONDS
 
     def _mark_synced(self, synced_at: float) -> None:
         self._synced_at = synced_at
-        self._schedule_read(synced_at)
         self._report_available(True)
 
-    def _schedule_read(self, since: float) -> None:
-        jitter_factor = 1 + _READ_JITTER_SHARE * self._random.random()
-        self._next_read_at = since + _READ_INTERVAL_SECONDS * jitter_factor
-
-    def _answer_query(self, query: wire.PairsAsk, link: Link) -> None:
+    def _handle_query(self, query: wire.PairsAsk, link: Link) -> None:
+        now = self._clock.monotonic()
+        if query.to_all:
+            self._schedule.record_attempt_elsewhere(now)
+        stale = self._is_stale(now)
+        if stale and self._schedule.failed:
+            # Its next read may be postponed until the service is back.
+            self._report_available(False)
         # Keys that were last read before an outage may be outdated.
-        age = self._clock.monotonic() - self._synced_at
-        if age <= _STALE_SECONDS and self._view.newest > query.since:
+        if not stale and self._view.newest > query.since:
             link.send(self._make_update(query.asker, query.since))
 
     def _make_update(self, asker: str, since: int) -> wire.PairsTold:
@@ -142,6 +147,7 @@
             since=since,
             newest=self._view.newest,
             pairs=[self._encode_change(asker, since, each) for each in changes],
+            reader=self._name,
         )
 
     def _cancel_read(self) -> None:
@@ -190,10 +196,12 @@
             # decoded changes are valid, but the view is not complete at the
             # update's revision: read at once.
             self._view.merge_from_peer(changes, known)
-            self._next_read_at = self._clock.monotonic()
+            self._schedule.read_now(self._clock.monotonic())
             return
         self._view.merge_from_peer(changes, update.newest)
-        self._mark_synced(self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._schedule.record_update(update.reader, now)
+        self._mark_synced(now)
         self._cancel_read()
         if update.asker == self._name:
             log_decision(
--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -12,6 +12,8 @@
 from primrosewood.errors import StoreUnavailableError
 from primrosewood.kv import MemoryKeyValue
 from primrosewood.patches import decompress_value, make_patch
+from primrosewood.readschedule import ReadSchedule
+from primrosewood.sharedlimits import EntryCount
 from primrosewood.sharedreader import SharedReader
 from primrosewood.storeview import StoreView
 
@@ -22,6 +24,7 @@
     def __init__(self):
         super().__init__()
         self.read_count = 0
+        self.cancelled_count = 0
         self.is_down = False
         self.read_seconds = 0.002
 
@@ -35,7 +38,11 @@
 
     async def _count(self):
         self.read_count += 1
-        await asyncio.sleep(self.read_seconds)
+        try:
+            await asyncio.sleep(self.read_seconds)
+        except asyncio.CancelledError:
+            self.cancelled_count += 1
+            raise
         if self.is_down:
             raise StoreUnavailableError('down')
 
@@ -93,6 +100,7 @@
     """Keys that each reader holds, and calls that the service gets."""
 
     def setUp(self):
+        self.entries = EntryCount(8)
         self.store = _CountingKeyValue()
         self.bus = _MessageBus()
         self.held = {}
@@ -112,7 +120,12 @@
             name=name,
             view=StoreView(store or self.store, '', take),
             clock=SystemClock(),
-            random=Random(len(self.held)),
+            schedule=ReadSchedule(
+                name,
+                self.entries,
+                Random(len(self.held)),
+                SystemClock().monotonic(),
+            ),
             send=self.bus.connect(name),
             report_available=reported.append,
         )
@@ -319,10 +332,8 @@
         self.add('fast')
         await self.store.put('a', b'1')
         await self.wait_held({'a': b'1'})
-        slow.read_seconds = 0.002
-        slow.read_count = 0
         async with asyncio.timeout(2):
-            while not slow.read_count:
+            while not slow.cancelled_count:
                 await asyncio.sleep(0.01)
 
 
