Count messages by kind, encode a broadcast once, announce engines by few

Cause: nobody could tell which messages between processes grow with the fleet; a report to 68 entries was encoded 68 times; each of three seeds told a new engine to all 31 endpoint processes, each of which told all 68 entries: 6,300 messages for an engine.

Change: links count messages and bytes by kind in the metrics. A broadcast is encoded once; frames are joined from encoded messages. A new engine is forwarded by three endpoint processes.

--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -1,5 +1,7 @@
 """Serialises frames, which are CBOR arrays of (code, fields) messages."""
 
+from collections.abc import Sequence
+from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any
 
@@ -9,7 +11,14 @@
 from . import gen_wire as wire
 from .errors import WireError
 
-__all__ = ('Message', 'parse_frame', 'serialise_frame')
+__all__ = (
+    'EncodedMessage',
+    'Message',
+    'encode_message',
+    'join_frame',
+    'parse_frame',
+    'serialise_frame',
+)
 
 Message = msgspec.Struct
 
@@ -55,9 +64,47 @@
 )
 
 
-def serialise_frame(messages: list[Message]) -> bytes:
+# First byte of a CBOR array: its length if that is small, else the number that
+# announces a length of one or two bytes.
+_ARRAY_START = 0x80
+_MAX_SHORT_LENGTH = 23
+_ONE_BYTE_LENGTH = 24
+_TWO_BYTE_LENGTH = 25
+_MAX_ONE_BYTE_LENGTH = 255
+
+
+@dataclass(frozen=True, slots=True)
+class EncodedMessage:
+    """A message in the form in which frames contain it.
+
+    Attributes
+    ----------
+    kind
+        Type of the message.
+    body
+        The encoded message.
+    """
+
+    kind: type[Message]
+    body: bytes
+
+
+def encode_message(message: Message) -> EncodedMessage:
+    """Encode a message, for one frame or several."""
+    fields = msgspec.to_builtins(message, builtin_types=_PASSTHROUGH_TYPES)
+    kind = type(message)
+    return EncodedMessage(kind, cbor2.dumps([_CODES[kind], fields]))
+
+
+def join_frame(messages: Sequence[EncodedMessage]) -> bytes:
+    """Return a frame that contains the messages in order."""
+    bodies = (message.body for message in messages)
+    return _array_head(len(messages)) + b''.join(bodies)
+
+
+def serialise_frame(messages: Sequence[Message]) -> bytes:
     """Return a frame that contains the messages in order."""
-    return cbor2.dumps([_encode_message(message) for message in messages])
+    return join_frame([encode_message(message) for message in messages])
 
 
 def parse_frame(frame: bytes) -> list[Message]:
@@ -80,11 +127,12 @@
     return [_decode_message(encoded) for encoded in encoded_messages]
 
 
-def _encode_message(message: Message) -> list[Any]:
-    return [
-        _CODES[type(message)],
-        msgspec.to_builtins(message, builtin_types=_PASSTHROUGH_TYPES),
-    ]
+def _array_head(length: int) -> bytes:
+    if length <= _MAX_SHORT_LENGTH:
+        return bytes((_ARRAY_START + length,))
+    if length <= _MAX_ONE_BYTE_LENGTH:
+        return bytes((_ARRAY_START + _ONE_BYTE_LENGTH, length))
+    return bytes((_ARRAY_START + _TWO_BYTE_LENGTH, *length.to_bytes(2)))
 
 
 def _decode_message(encoded: Any) -> Message:
--- a/primrosewood/endpoint.py
+++ b/primrosewood/endpoint.py
@@ -79,6 +79,7 @@
                 handle_message=self._worker.handle,
                 on_link_closed=self._worker.drop_link,
             ),
+            self._metrics,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -120,7 +120,7 @@
                 self._handle_call_placed(message)
             case wire.EngineFound():
                 # Forwarded, as entries have no links to each other.
-                self._broadcast(message)
+                self._broadcast(message, link)
             case wire.RoomTold():
                 self._mover.handle_capacity_reply(message)
             case wire.PairsAsk():
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -11,7 +11,7 @@
 from .link import Link
 from .logs import log_event
 from .moves import MoveNotice, MoveNotices
-from .peerlink import LinkIdentity, PeerLink
+from .peerlink import PeerConnector, PeerLink
 from .routes import TableHolder
 from .sharedlimits import EntryCount
 
@@ -24,6 +24,11 @@
 # Assumed cold time of an engine that was announced over a link: it has just
 # started, and its record, which states the cold time, is not known yet.
 _ANNOUNCED_COLD_SECONDS = 5.0
+# Endpoint processes that forward the announcement of an engine. Several do, as
+# one may be partitioned from some entries or leave at that moment.
+_ANNOUNCEMENT_COPIES = 3
+# Endpoint processes report at least every 0.5 s.
+_SILENT_SECONDS = 0.8
 # Share of an engine's memory that moves may fill; the rest is left for the
 # growth of its own generations.
 _OFFERED_MEMORY_SHARE = 0.9
@@ -46,7 +51,7 @@
         tables: TableHolder,
         notices: MoveNotices,
         entries: EntryCount,
-        identity: LinkIdentity,
+        connector: PeerConnector,
         clock: Clock,
         link_port: int,
         handle_other: Callable[[Message, Link], None],
@@ -57,7 +62,7 @@
         self._tables = tables
         self._notices = notices
         self._entries = entries
-        self._identity = identity
+        self._connector = connector
         self._clock = clock
         self._link_port = link_port
         self._links: dict[str, PeerLink] = {}
@@ -144,12 +149,7 @@
         bool
             False when no link is connected.
         """
-        for address, link in list(self._links.items()):
-            if link.send(message):
-                # Moved to the end, so that the next message uses another link.
-                self._links[address] = self._links.pop(address)
-                return True
-        return False
+        return self._send_to_some(message, limit=1)
 
     def announce_call(
         self, backend: Backend, name: str, unread_tokens: int, whole_tokens: int
@@ -174,21 +174,37 @@
     def handle_announcement(self, message: Message, _link: Link) -> None:
         """Handle the announcement of an engine by its endpoint process.
 
-        A new engine is announced to all linked endpoint processes, which
-        forward the announcement to the other entries.
+        Some endpoint processes forward it to the other entries. Each of them
+        sends a message to every entry, so that through all of them the
+        messages would grow with the product of entries and engines.
         """
         if isinstance(message, wire.EngineFound) and self.register_engine(
             message
         ):
-            for link in self._links.values():
-                link.send(message)
+            self._send_to_some(message, _ANNOUNCEMENT_COPIES)
+
+    def _send_to_some(self, message: Message, limit: int) -> bool:
+        """Send on some links; return whether any of them is connected.
+
+        A peer whose VM has just been taken away is silent until its link is
+        given up, so that links which were heard lately come first.
+        """
+        by_silence = sorted(
+            self._links.items(),
+            key=lambda item: item[1].silence > _SILENT_SECONDS,
+        )
+        sent = 0
+        for address, link in by_silence:
+            if sent < limit and link.send(message):
+                sent += 1
+                # Moved to the end, so that the next message uses another link.
+                self._links[address] = self._links.pop(address)
+        return sent > 0
 
     def _open_link(self, address: str) -> PeerLink:
         host = address.partition(':')[0]
-        return PeerLink(
+        return self._connector.open(
             f'ws://{host}:{self._link_port}',
-            self._identity,
-            self._clock,
             partial(self._handle_message, address),
         )
 
--- a/primrosewood/entry.py
+++ b/primrosewood/entry.py
@@ -74,6 +74,7 @@
             store=self._store,
             clock=self._clock,
             random=self._random,
+            metrics=self._metrics,
         )
         self._claim_router = self._make_claim_router()
         self._caller_api = self._make_caller_api()
@@ -87,6 +88,7 @@
                 handle_message=self._handle_peer_message,
                 on_link_closed=lambda _link: None,
             ),
+            self._metrics,
         )
         self._announcer = Announcer(
             self._key_value,
--- a/primrosewood/link.py
+++ b/primrosewood/link.py
@@ -9,9 +9,16 @@
 from websockets.asyncio.connection import Connection
 
 from . import gen_wire as wire
-from .codec import Message, parse_frame, serialise_frame
+from .codec import (
+    EncodedMessage,
+    Message,
+    encode_message,
+    join_frame,
+    parse_frame,
+)
 from .errors import WireError
 from .logs import log_event
+from .metrics import Metrics
 
 __all__ = ('CONNECT_ERRORS', 'Link', 'MessageSource', 'receive_hello')
 
@@ -44,10 +51,11 @@
     is built, so that a slow link holds stream offsets and no copies of tokens.
     """
 
-    def __init__(self, socket: Connection) -> None:
+    def __init__(self, socket: Connection, metrics: Metrics) -> None:
         """Wrap a connection after its handshake."""
         self._socket = socket
-        self._outbox: list[Message] = []
+        self._metrics = metrics
+        self._outbox: list[EncodedMessage] = []
         self._ready_sources: dict[MessageSource, None] = {}
         self._output_pending = asyncio.Event()
         self._closed = False
@@ -59,6 +67,10 @@
 
     def send(self, message: Message) -> None:
         """Queue a message for sending."""
+        self.send_encoded(encode_message(message))
+
+    def send_encoded(self, message: EncodedMessage) -> None:
+        """Queue a message that was encoded once for several links."""
         self._outbox.append(message)
         self._output_pending.set()
 
@@ -116,9 +128,19 @@
         messages, self._outbox = self._outbox, []
         sources, self._ready_sources = self._ready_sources, {}
         for source in sources:
-            messages.extend(source.collect())
+            messages.extend(map(encode_message, source.collect()))
         for frame_messages in _group_by_frame(messages):
-            await self._socket.send(serialise_frame(frame_messages))
+            self._count(frame_messages)
+            await self._socket.send(join_frame(frame_messages))
+
+    def _count(self, messages: list[EncodedMessage]) -> None:
+        sizes: dict[str, list[int]] = {}
+        for message in messages:
+            kind = message.kind.__name__
+            sizes.setdefault(kind, []).append(len(message.body))
+        for kind, kind_sizes in sizes.items():
+            self._metrics.count('messages_sent', kind, len(kind_sizes))
+            self._metrics.count('message_bytes_sent', kind, sum(kind_sizes))
 
 
 async def receive_hello(
@@ -153,11 +175,13 @@
     return hello
 
 
-def _group_by_frame(messages: list[Message]) -> list[list[Message]]:
-    groups: list[list[Message]] = []
+def _group_by_frame(
+    messages: list[EncodedMessage],
+) -> list[list[EncodedMessage]]:
+    groups: list[list[EncodedMessage]] = []
     free_slots = 0
     for message in messages:
-        unbatched = isinstance(message, _UNBATCHED_TYPES)
+        unbatched = message.kind in _UNBATCHED_TYPES
         if unbatched or free_slots == 0:
             groups.append([])
             free_slots = _MAX_MESSAGES_PER_FRAME
--- a/primrosewood/linkpool.py
+++ b/primrosewood/linkpool.py
@@ -18,6 +18,7 @@
 from .link import Link
 from .logs import log_event
 from .membership import EndpointView
+from .metrics import Metrics
 from .process import spawn
 from .settings import SettingsStore
 
@@ -82,6 +83,7 @@
         store: SettingsStore,
         clock: Clock,
         random: RandomSource,
+        metrics: Metrics,
     ) -> None:
         """Start a background task that connects."""
         self.view = view
@@ -89,6 +91,7 @@
         self._store = store
         self._clock = clock
         self._random = random
+        self._metrics = metrics
         self._link: Link | None = None
         self._inboxes: dict[str, Inbox] = {}
         self._connected = asyncio.Event()
@@ -184,7 +187,7 @@
             proxy=None,
         ) as socket:
             await self._handshake(socket)
-            link = Link(socket)
+            link = Link(socket, self._metrics)
             self._link = link
             self._connected.set()
             link.send(heartbeat(self._store))
@@ -261,6 +264,7 @@
         store: SettingsStore,
         clock: Clock,
         random: RandomSource,
+        metrics: Metrics,
     ) -> None:
         """Create a pool without connections."""
         self._settings = settings
@@ -270,6 +274,7 @@
         )
         self._clock = clock
         self._random = random
+        self._metrics = metrics
         self._clients: dict[str, LinkClient] = {}
 
     @property
@@ -282,7 +287,12 @@
         client = self._clients.get(view.name)
         if client is None:
             client = LinkClient(
-                view, self._identity, self._store, self._clock, self._random
+                view,
+                self._identity,
+                self._store,
+                self._clock,
+                self._random,
+                self._metrics,
             )
             self._clients[view.name] = client
         return client
--- a/primrosewood/linkserver.py
+++ b/primrosewood/linkserver.py
@@ -14,6 +14,7 @@
 from .gossip import handle_settings_message, heartbeat
 from .link import CONNECT_ERRORS, Link, receive_hello
 from .logs import log_event
+from .metrics import Metrics
 from .settings import SettingsStore
 
 __all__ = ('LinkServer', 'LinkServerCallbacks')
@@ -54,11 +55,13 @@
         store: SettingsStore,
         process_key: str,
         callbacks: LinkServerCallbacks,
+        metrics: Metrics,
     ) -> None:
         """Create a server without links."""
         self._store = store
         self._process_key = process_key
         self._callbacks = callbacks
+        self._metrics = metrics
         self._links: set[Link] = set()
         self._last_sent_load: wire.Load | None = None
 
@@ -118,7 +121,7 @@
         return hello
 
     async def _run_link(self, socket: ServerConnection, peer: str) -> None:
-        link = Link(socket)
+        link = Link(socket, self._metrics)
         self._links.add(link)
         log_event('link_opened', peer=peer)
         link.send(heartbeat(self._store, self._callbacks.current_load()))
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -17,12 +17,13 @@
 
 from . import gen_wire as wire
 from .clock import Clock
-from .codec import Message, serialise_frame
+from .codec import Message, encode_message, serialise_frame
 from .link import CONNECT_ERRORS, Link, receive_hello
 from .logs import log_event
+from .metrics import Metrics
 from .process import spawn
 
-__all__ = ('PeerLink', 'PeerServer', 'LinkIdentity')
+__all__ = ('LinkIdentity', 'PeerConnector', 'PeerLink', 'PeerServer')
 
 _HANDSHAKE_TIMEOUT_SECONDS = 1.0
 # A frame may carry the operators' complete route table, at most 1 MB.
@@ -67,16 +68,23 @@
         identity: LinkIdentity,
         clock: Clock,
         handle: Callable[[Message, Link], None],
+        metrics: Metrics,
     ) -> None:
         """Start connecting in the background."""
         self._url = url
         self._identity = identity
         self._clock = clock
         self._handle = handle
+        self._metrics = metrics
         self._last_heard_at = clock.monotonic()
         self._link: Link | None = None
         self._task = spawn(self._run(), f'link to {url}')
 
+    @property
+    def silence(self) -> float:
+        """Seconds since the peer was last heard."""
+        return self._clock.monotonic() - self._last_heard_at
+
     def check_silence(self) -> None:
         """Abort a connection on which nothing has arrived for too long.
 
@@ -84,8 +92,7 @@
         entry would wait for reports of an engine that is long gone.
         """
         link = self._link
-        silence = self._clock.monotonic() - self._last_heard_at
-        if link is not None and silence > _SILENCE_TIMEOUT_SECONDS:
+        if link is not None and self.silence > _SILENCE_TIMEOUT_SECONDS:
             log_event('link_silent', 'WARNING', peer=self._url)
             self._link = None
             spawn(link.abort(), 'abort link')
@@ -131,7 +138,7 @@
                 key=identity.key,
             )
             await socket.send(serialise_frame([hello]))
-            link = Link(socket)
+            link = Link(socket, self._metrics)
             self._last_heard_at = self._clock.monotonic()
             self._link = link
             log_event('link_opened', peer=self._url)
@@ -149,6 +156,21 @@
         self._handle(message, link)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerConnector:
+    """Opens links of one process to its peers."""
+
+    identity: LinkIdentity
+    clock: Clock
+    metrics: Metrics
+
+    def open(
+        self, url: str, handle: Callable[[Message, Link], None]
+    ) -> PeerLink:
+        """Return a link that connects in the background."""
+        return PeerLink(url, self.identity, self.clock, handle, self.metrics)
+
+
 class PeerServer:
     """Accepts links from peers that know the shared key.
 
@@ -164,11 +186,13 @@
         self,
         key: str,
         handle: Callable[[Message, Link], None],
+        metrics: Metrics,
         make_greeting: Callable[[], Message | None] | None = None,
     ) -> None:
         """Create a server without links."""
         self._key = key
         self._handle = handle
+        self._metrics = metrics
         self._make_greeting = make_greeting
         self._links: dict[Link, str] = {}
 
@@ -192,9 +216,10 @@
 
     def broadcast(self, message: Message, exclude: Link | None = None) -> None:
         """Send a message to every peer except the excluded one."""
+        encoded = encode_message(message)
         for link in self._links:
             if link is not exclude:
-                link.send(message)
+                link.send_encoded(encoded)
 
     def send_to_some(
         self, message: Message, limit: int, exclude: Link | None = None
@@ -220,7 +245,7 @@
             log_event('link_refused', 'WARNING', why=type(error).__name__)
             await socket.close(_CLOSE_POLICY_VIOLATION)
             return
-        link = Link(socket)
+        link = Link(socket, self._metrics)
         self._links[link] = hello.process
         log_event('link_opened', peer=hello.process, peers=self.peers)
         greeting = self._make_greeting and self._make_greeting()
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -12,7 +12,7 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from ..movableengine import EngineLocation
-from ..peerlink import LinkIdentity, PeerLink, PeerServer
+from ..peerlink import LinkIdentity, PeerConnector, PeerLink, PeerServer
 from ..process import spawn
 from .engines import HttpMovableEngine
 
@@ -50,6 +50,7 @@
         self._server = PeerServer(
             settings.link_key,
             self._keeper.handle,
+            self._metrics,
             lambda: self._keeper.last_report,
         )
         self._keeper.server = self._server
@@ -92,11 +93,13 @@
     async def _run_announcements(self) -> None:
         """Announce the engine to the seed entries until cancelled."""
         settings = self._settings
-        identity = LinkIdentity(
-            settings.name, make_identifier(), settings.link_key
+        connector = PeerConnector(
+            LinkIdentity(settings.name, make_identifier(), settings.link_key),
+            SystemClock(),
+            self._metrics,
         )
         links = [
-            PeerLink(f'ws://{seed}', identity, SystemClock(), _ignore_message)
+            connector.open(f'ws://{seed}', _ignore_message)
             for seed in settings.seeds
         ]
         try:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -27,7 +27,7 @@
 from ..logs import log_event
 from ..metrics import Metrics
 from ..moves import MoveNotices
-from ..peerlink import LinkIdentity, PeerServer
+from ..peerlink import LinkIdentity, PeerConnector, PeerServer
 from ..process import spawn
 from ..readschedule import ReadSchedule
 from ..relay import Relay, RelayDependencies
@@ -79,8 +79,12 @@
             tables=self._tables,
             notices=self._notices,
             entries=self._entries,
-            identity=LinkIdentity(
-                settings.name, make_identifier(), settings.link_key
+            connector=PeerConnector(
+                LinkIdentity(
+                    settings.name, make_identifier(), settings.link_key
+                ),
+                self._clock,
+                self._metrics,
             ),
             clock=self._clock,
             link_port=settings.link_port,
@@ -118,7 +122,7 @@
         )
         self._frontend = self._make_frontend()
         self._peers = PeerServer(
-            settings.link_key, self._engines.handle_announcement
+            settings.link_key, self._engines.handle_announcement, self._metrics
         )
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/primrosewood/readschedule.py
+++ b/primrosewood/readschedule.py
@@ -11,7 +11,7 @@
 the service does answer are not held up by those that it refuses.
 """
 
-from math import e, log, log1p
+from math import expm1, log, log1p
 
 from .clock import RandomSource
 from .sharedlimits import EntryCount
@@ -120,5 +120,4 @@
         the reads per takeover would grow with the number of entries.
         """
         steepness = 1 + log(self._entries.count)
-        scale = e**steepness - 1
-        return log1p(self._random.random() * scale) / steepness
+        return log1p(self._random.random() * expm1(steepness)) / steepness
