--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -255,6 +255,7 @@
         finally:
             reservation.release()
             self._deps.metrics.record('send', self._now() - now)
+            self._count_bytes(call, reservation)
 
     def observe_answer_length(self, progress: CallProgress) -> None:
         """Update the length prediction from a complete stream."""
@@ -297,6 +298,13 @@
         """Return the traits of a service's engines, None for plain services."""
         return self._deps.tables.engine_traits(service)
 
+    def _count_bytes(self, call: DirectCall, reservation: Reservation) -> None:
+        domain = reservation.backend.record.failure_domain
+        place = 'same' if domain == self._rules.failure_domain else 'other'
+        count = self._deps.metrics.count
+        count('request_bytes_by_domain', place, len(call.body))
+        count('answer_bytes_by_domain', place, reservation.answer_bytes)
+
     def _record_refusal(self, backend: Backend, error: NotRunError) -> None:
         if isinstance(error, MisdirectedError):
             backend.mark_misdirected()
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -154,11 +154,13 @@
         self, progress: CallProgress, backend: Backend
     ) -> tuple[AnswerHead, bytes]:
         backend_attempt = BackendAttempt(backend)
-        with self._placement.reserve(progress, backend_attempt):
+        with self._placement.reserve(progress, backend_attempt) as reservation:
             async with self._deps.transport.send(
                 progress.call, backend_attempt
             ) as reply:
-                return await _read_body(reply)
+                head, body = await _read_body(reply)
+                reservation.answer_bytes = len(body)
+                return head, body
 
     async def _answer_stream(
         self, progress: CallProgress, sink: AnswerSink
@@ -211,6 +213,7 @@
     ) -> None:
         splitter = EventSplitter()
         async for part in reply.parts():
+            reservation.answer_bytes += len(part)
             events = splitter.feed(part)
             new_events = b''.join(filter(progress.order.accept, events))
             if not new_events:
