--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -42,6 +42,15 @@
     def test_round_trip_of_messages(self):
         self.assertEqual(_MESSAGES, parse_frame(serialise_frame(_MESSAGES)))
 
+    def test_frames_of_any_length(self):
+        """The head of a CBOR array changes its form at 24 and at 256."""
+        for length in (0, 1, 23, 24, 255, 256, 1000):
+            messages = [wire.Credit('a', number) for number in range(length)]
+            frame = serialise_frame(messages)
+            self.assertEqual(messages, parse_frame(frame))
+            rows = [[14, ['a', number]] for number in range(length)]
+            self.assertEqual(cbor2.dumps(rows), frame)
+
     def test_unknown_trailing_field_is_ignored(self):
         frame = cbor2.dumps([[15 - 1, ['a', 4, 'new']]])
         self.assertEqual([wire.Credit('a', 4)], parse_frame(frame))
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -23,6 +23,7 @@
 
     def __init__(self):
         self.broadcasts = []
+        self.limited = []
         self.answers = []
         self.keeper = None
         self.peers = 2
@@ -38,6 +39,7 @@
                 self.keeper.handle(answer, None)
 
     def send_to_some(self, message, limit, exclude=None):
+        self.limited.append(message)
         self.broadcast(message)
 
     def moves(self):
@@ -349,6 +351,18 @@
         self.keeper.handle(update, 'link of entry-1')
         self.assertIn(update, self.server.broadcasts)
 
+    async def test_news_of_a_failed_read_reaches_all_entries(self):
+        """Entries that the store refuses take turns in trying it again.
+
+        A first query goes to a few entries, any of which can answer it.
+        """
+        query = wire.PairsAsk('entry-2', 7)
+        self.keeper.handle(query, 'link of entry-2')
+        attempt = wire.PairsAsk('entry-2', 7, to_all=True)
+        self.keeper.handle(attempt, 'link of entry-2')
+        self.assertEqual([query], self.server.limited)
+        self.assertIn(attempt, self.server.broadcasts)
+
     async def test_engine_announced_by_an_entry_is_forwarded(self):
         found = wire.EngineFound('i-b', 'b:1', 's', 'd1')
         self.keeper.handle(found, None)
