--- a/primrosewood/callprogress.py
+++ b/primrosewood/callprogress.py
@@ -31,6 +31,8 @@
         before.
     longest_pause
         Most seconds between two events sent to the caller.
+    pause_after
+        Number of the event before the longest pause.
     """
 
     call: DirectCall
@@ -42,13 +44,16 @@
     alternatives: int = 0
     first_event: float | None = None
     longest_pause: float = 0
+    pause_after: int | None = None
     _last_event_at: float = 0
+    _last_event: int | None = None
 
     def record_event(self, now: float) -> None:
         """Record that events are sent to the caller."""
         if self.first_event is None:
             self.first_event = now - self.call.arrived
-        else:
-            pause = now - self._last_event_at
-            self.longest_pause = max(self.longest_pause, pause)
+        elif now - self._last_event_at > self.longest_pause:
+            self.longest_pause = now - self._last_event_at
+            self.pause_after = self._last_event
         self._last_event_at = now
+        self._last_event = self.order.last
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -340,6 +340,7 @@
             last_event=progress.order.last,
             first_event=progress.first_event,
             longest_pause=progress.longest_pause or None,
+            pause_after=progress.pause_after,
             late=_find_lateness(progress, seconds) or None,
             seconds=seconds,
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -469,14 +469,16 @@
 
         async def stall():
             yield make_event(1)
-            await asyncio.sleep(0.15)
             yield make_event(2)
+            await asyncio.sleep(0.15)
+            yield make_event(3)
 
         reply.parts = stall
         call = self.make_call(RouteKind.streaming, longest_pause=0.1)
         with mock.patch('primrosewood.relay.log_decision') as log:
             await self.answer(call, reply)
         self.assertEqual('pause', log.call_args.kwargs['late'])
+        self.assertEqual(2, log.call_args.kwargs['pause_after'])
 
     async def test_failed_call_releases_its_reservation(self):
         call = self.make_call(RouteKind.streaming)
