--- a/primrosewood/callprogress.py
+++ b/primrosewood/callprogress.py
@@ -48,6 +48,10 @@
     _last_event_at: float = 0
     _last_event: int | None = None
 
+    def silence(self, now: float) -> float | None:
+        """Return seconds since the last event was sent, None before one."""
+        return None if self.first_event is None else now - self._last_event_at
+
     def record_event(self, now: float) -> None:
         """Record that events are sent to the caller."""
         if self.first_event is None:
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -277,6 +277,7 @@
             source=notice.source,
             endpoint=notice.target,
             last_event=last_event,
+            silence=progress.silence(self._deps.clock.monotonic()),
             why=error,
         )
         self._deps.metrics.count('resumed')
