Copy to an engine only while no other engine copies to it

Cause: engines that leave together all chose the engine with the most free memory, mostly one that had just started, and their copies queued on its link. At five engines one leaves at a time; at 25 and 31 three to five do, so this comes with the size.

Ruled out: the engine that resumes (0.033 s on average), the notice of the move (0.5 ms in the log).

Change: an engine's report says to which engine a generation is being copied, at once when a copy begins and ends; entries mark that engine in their answers, and other leaving engines prefer any that is not marked.

--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -70,6 +70,7 @@
             random,
             broadcast=self._broadcast,
             ask_entries=self._send_to_some,
+            report_copy=self._report_copy,
         )
         self._reports = EngineReports()
         self._token_time = TokenTimeEstimator()
@@ -231,7 +232,11 @@
         self._reading = reading
         leaving = reading.state.leaving
         self._token_time.observe(reading.runs, started_at)
-        state = replace(reading.state, token_seconds=self._token_time.seconds)
+        state = replace(
+            reading.state,
+            token_seconds=self._token_time.seconds,
+            copying_to=self._mover.copying_to,
+        )
         self._reports.record_state(state, started_at)
         self._send_report_if_due(force=leaving and not was_leaving)
         if leaving and not was_leaving:
@@ -242,6 +247,14 @@
             )
         self._mover.update(replace(reading, state=state))
 
+    def _report_copy(self) -> None:
+        """Report the start or the end of a copy at once.
+
+        Engines that leave at the same time then choose other targets.
+        """
+        self._reports.record_copy(self._mover.copying_to)
+        self._send_report_if_due(force=True)
+
     def _send_report_if_due(self, force: bool = False) -> None:
         now = self._clock.monotonic()
         report = self._reports.make(self.server.peers)
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -36,6 +36,14 @@
         Sends a message to all entries.
     ask_entries
         Sends a message to a few entries.
+    report_copy
+        Called when a copy to another engine begins and when it has ended.
+
+    Attributes
+    ----------
+    copying_to
+        Address of the engine to which a generation is being copied, empty for
+        none.
     """
 
     def __init__(
@@ -47,6 +55,7 @@
         random: RandomSource,
         broadcast: Callable[[Message], None],
         ask_entries: Callable[[Message], None],
+        report_copy: Callable[[], None],
     ) -> None:
         """Create a mover that has no reading of the engine yet."""
         self._engine = engine
@@ -56,6 +65,8 @@
         self._random = random
         self._broadcast = broadcast
         self._ask_entries = ask_entries
+        self._report_copy = report_copy
+        self.copying_to = ''
         self._expected_ends = ExpectedEnds()
         self._mean_copy_seconds = _INITIAL_COPY_SECONDS
         self._reading: EngineReading | None = None
@@ -115,7 +126,10 @@
             self._capacity_reply.set_result(
                 [
                     MoveTarget(
-                        each.address, each.failure_domain, each.free_tokens
+                        each.address,
+                        each.failure_domain,
+                        each.free_tokens,
+                        each.receiving,
                     )
                     for each in message.engines
                 ]
@@ -195,6 +209,7 @@
 
     async def _move_to(self, run: EngineRun, target: MoveTarget) -> bool:
         """Return whether the generation was moved or is already complete."""
+        self._set_copy_target(target.address)
         try:
             handle = await self._copy(run, target.address)
         except (NotRunError, BackendCutError) as error:
@@ -203,10 +218,16 @@
         else:
             self._report_move(run, target.address, handle)
             settled = True
+        finally:
+            self._set_copy_target('')
         if settled:
             self._settled.add(run.name)
         return settled
 
+    def _set_copy_target(self, address: str) -> None:
+        self.copying_to = address
+        self._report_copy()
+
     async def _copy(self, run: EngineRun, target: str) -> str:
         started = self._clock.monotonic()
         await self._engine.copy(run, target, last=False)
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -27,6 +27,8 @@
 # Endpoint processes that forward the announcement of an engine. Several do, as
 # one may be partitioned from some entries or leave at that moment.
 _ANNOUNCEMENT_COPIES = 3
+# A report of a copy counts for this long; copies take up to 0.5 s.
+_COPY_REPORT_SECONDS = 1.0
 # Endpoint processes report at least every 0.5 s.
 _SILENT_SECONDS = 0.8
 # Share of an engine's memory that moves may fill; the rest is left for the
@@ -106,11 +108,13 @@
     def engines_with_capacity(self, service: str) -> list[wire.EngineRoom]:
         """Return the engines of a service that can accept moved generations."""
         now = self._clock.monotonic()
+        receiving = self._list_receiving(now)
         return [
             wire.EngineRoom(
                 backend.record.address,
                 backend.record.failure_domain,
                 _free_tokens(backend),
+                backend.record.address in receiving,
             )
             for backend in self._backends.usable(service)
             if _has_slot(backend)
@@ -201,6 +205,15 @@
                 self._links[address] = self._links.pop(address)
         return sent > 0
 
+    def _list_receiving(self, now: float) -> set[str]:
+        """Return the addresses of engines to which others copy generations."""
+        return {
+            backend.state.copying_to
+            for backend in self._backends.backends
+            # An engine that is gone ends no copy in its last report.
+            if backend.state and now < backend.state_at + _COPY_REPORT_SECONDS
+        }
+
     def _open_link(self, address: str) -> PeerLink:
         host = address.partition(':')[0]
         return self._connector.open(
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -201,6 +201,18 @@
     """
     Recent mean time per token, in microseconds; 0 when nothing ran.
     """
+    copying_to: (
+        Annotated[
+            str,
+            Meta(
+                description='Engine to which a generation is being copied, as host:port; empty for none.'
+            ),
+        ]
+        | UnsetType
+    ) = ''
+    """
+    Engine to which a generation is being copied, as host:port; empty for none.
+    """
 
 
 class EngineRoom(Struct, array_like=True):
@@ -214,6 +226,16 @@
     """
     failure_domain: str
     free_tokens: Annotated[int, Meta(ge=0)]
+    receiving: (
+        Annotated[
+            bool,
+            Meta(description='Whether a generation is being copied to the engine.'),
+        ]
+        | UnsetType
+    ) = False
+    """
+    Whether a generation is being copied to the engine.
+    """
 
 
 class Failed(Struct, array_like=True):
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -50,11 +50,18 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveTarget:
-    """An engine that may accept moved generations."""
+    """An engine that may accept moved generations.
+
+    Attributes
+    ----------
+    receiving
+        Whether another engine is copying a generation to it.
+    """
 
     address: str
     failure_domain: str
     free_tokens: int
+    receiving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +112,8 @@
 ) -> MoveTarget | None:
     """Return one of the engines with the most free memory.
 
-    Returns None if no engine has enough.
+    Engines to which nothing is being copied come first. Returns None if no
+    engine has enough memory.
 
     Parameters
     ----------
@@ -130,6 +138,8 @@
     ]
     if not fitting:
         return None
+    # The last part of this generation would wait behind the other copy.
+    fitting = [each for each in fitting if not each.receiving] or fitting
     same_domain = [
         each for each in fitting if each.failure_domain == failure_domain
     ]
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -339,6 +339,24 @@
         await self.wait_for(lambda: self.server.broadcasts)
         self.assertIsInstance(self.keeper.last_report, wire.EngineReport)
 
+    async def test_copies_are_reported_as_they_begin_and_end(self):
+        """Other engines that leave now must not copy to the same target."""
+        self.server.answers = [CAPACITY_REPLY]
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+        await self.wait_for(lambda: not self.keeper.moving)
+        targets = [
+            each.copying_to
+            for each in self.server.broadcasts
+            if isinstance(each, wire.EngineReport)
+        ]
+        changes = [
+            target
+            for target, before in zip(targets[1:], targets, strict=False)
+            if target != before
+        ]
+        self.assertEqual(['b:1', '', 'b:1', ''], changes)
+
     async def test_messages_between_entries_are_forwarded(self):
         """Entries have no links to each other; messages are forwarded."""
         query = wire.PairsAsk('entry-2', 7)
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -17,7 +17,8 @@
 class _FakeLink:
     """A link that records what is sent on it."""
 
-    def __init__(self):
+    def __init__(self, handle):
+        self.receive = handle
         self.sent = []
         self.silence = 0.1
         self.connected = True
@@ -34,13 +35,13 @@
     def __init__(self):
         self.links = []
 
-    def open(self, _url, _handle):
-        self.links.append(_FakeLink())
+    def open(self, _url, handle):
+        self.links.append(_FakeLink(handle))
         return self.links[-1]
 
 
-class AnnouncedEngineTest(unittest.TestCase):
-    """What an entry sends when a new engine announces itself there."""
+class _EngineViewCase(unittest.TestCase):
+    """An entry with links to 31 engines."""
 
     def setUp(self):
         entries = EntryCount(68)
@@ -65,6 +66,10 @@
             backends.apply_record(record, 0.0)
         self.view.update()
 
+
+class AnnouncedEngineTest(_EngineViewCase):
+    """What an entry sends when a new engine announces itself there."""
+
     def messages(self):
         return [each for link in self.connector.links for each in link.sent]
 
@@ -104,5 +109,41 @@
         self.assertTrue(self.view.send_to_one(_FOUND))
 
 
+class ReceivingEngineTest(_EngineViewCase):
+    """Which engines an entry offers to those that leave at the same time."""
+
+    def report(self, number, copying_to):
+        report = wire.EngineReport(
+            running=3,
+            queued=0,
+            used_tokens=9000,
+            total_tokens=34_312,
+            leaving=True,
+            entries=68,
+            copying_to=copying_to,
+        )
+        self.connector.links[number].receive(report, None)
+
+    def receiving(self):
+        return [
+            each.address
+            for each in self.view.engines_with_capacity('s')
+            if each.receiving
+        ]
+
+    def test_target_of_a_copy_is_marked_until_the_copy_ends(self):
+        """Guards against copies of several engines that meet at one."""
+        self.report(0, '10.1.1.5:80')
+        self.assertEqual(['10.1.1.5:80'], self.receiving())
+        self.report(0, '')
+        self.assertEqual([], self.receiving())
+
+    def test_engine_that_is_gone_marks_no_target(self):
+        """The last report of an engine stays; its copy has ended with it."""
+        with mock.patch('primrosewood.engineview._COPY_REPORT_SECONDS', 0):
+            self.report(0, '10.1.1.5:80')
+            self.assertEqual([], self.receiving())
+
+
 if __name__ == '__main__':
     unittest.main()
