Know of a copy also when the record of its source is gone

An engine that leaves without a word loses its record first, and the entry dropped reports of engines that it no longer lists. Change: copies are kept by the link on which they are reported.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -87,9 +87,6 @@
         Number of generations that have produced an event.
     token_seconds
         Recent seconds per decoded token, 0 when nothing ran.
-    copying_to
-        Address of the engine to which a generation is being copied, empty for
-        none.
     """
 
     running: int = 0
@@ -100,7 +97,6 @@
     unread_tokens: int = 0
     generating: int = 0
     token_seconds: float = 0
-    copying_to: str = ''
 
 
 @dataclass(slots=True, eq=False)
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -232,11 +232,7 @@
         self._reading = reading
         leaving = reading.state.leaving
         self._token_time.observe(reading.runs, started_at)
-        state = replace(
-            reading.state,
-            token_seconds=self._token_time.seconds,
-            copying_to=self._mover.copying_to,
-        )
+        state = replace(reading.state, token_seconds=self._token_time.seconds)
         self._reports.record_state(state, started_at)
         self._send_report_if_due(force=leaving and not was_leaving)
         if leaving and not was_leaving:
@@ -247,12 +243,12 @@
             )
         self._mover.update(replace(reading, state=state))
 
-    def _report_copy(self) -> None:
+    def _report_copy(self, target: str) -> None:
         """Report the start or the end of a copy at once.
 
         Engines that leave at the same time then choose other targets.
         """
-        self._reports.record_copy(self._mover.copying_to)
+        self._reports.record_copy(target)
         self._send_report_if_due(force=True)
 
     def _send_report_if_due(self, force: bool = False) -> None:
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -37,13 +37,8 @@
     ask_entries
         Sends a message to a few entries.
     report_copy
-        Called when a copy to another engine begins and when it has ended.
-
-    Attributes
-    ----------
-    copying_to
-        Address of the engine to which a generation is being copied, empty for
-        none.
+        Called with the address of another engine when a copy to it begins, and
+        with an empty one when the copy has ended.
     """
 
     def __init__(
@@ -55,7 +50,7 @@
         random: RandomSource,
         broadcast: Callable[[Message], None],
         ask_entries: Callable[[Message], None],
-        report_copy: Callable[[], None],
+        report_copy: Callable[[str], None],
     ) -> None:
         """Create a mover that has no reading of the engine yet."""
         self._engine = engine
@@ -66,7 +61,6 @@
         self._broadcast = broadcast
         self._ask_entries = ask_entries
         self._report_copy = report_copy
-        self.copying_to = ''
         self._expected_ends = ExpectedEnds()
         self._mean_copy_seconds = _INITIAL_COPY_SECONDS
         self._reading: EngineReading | None = None
@@ -209,7 +203,7 @@
 
     async def _move_to(self, run: EngineRun, target: MoveTarget) -> bool:
         """Return whether the generation was moved or is already complete."""
-        self._set_copy_target(target.address)
+        self._report_copy(target.address)
         try:
             handle = await self._copy(run, target.address)
         except (NotRunError, BackendCutError) as error:
@@ -219,15 +213,11 @@
             self._report_move(run, target.address, handle)
             settled = True
         finally:
-            self._set_copy_target('')
+            self._report_copy('')
         if settled:
             self._settled.add(run.name)
         return settled
 
-    def _set_copy_target(self, address: str) -> None:
-        self.copying_to = address
-        self._report_copy()
-
     async def _copy(self, run: EngineRun, target: str) -> str:
         started = self._clock.monotonic()
         await self._engine.copy(run, target, last=False)
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -8,7 +8,7 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from . import gen_wire as wire
 from .backendset import EngineState
@@ -52,6 +52,7 @@
         self.last: wire.EngineReport | None = None
         self._last_sent_at = float('-inf')
         self._state = EngineState()
+        self._copying_to = ''
         self._announced: deque[_AnnouncedCall] = deque()
         self._credit: float = _BURST_REPORTS
         self._refilled_at: float = 0
@@ -80,7 +81,7 @@
 
     def record_copy(self, target: str) -> None:
         """Record to which engine a generation is being copied, if any."""
-        self._state = replace(self._state, copying_to=target)
+        self._copying_to = target
 
     def make(self, entries: int) -> wire.EngineReport:
         """Return the current report for a number of connected entries."""
@@ -96,7 +97,7 @@
             unread_tokens=state.unread_tokens + announced_tokens,
             generating=state.generating,
             token_micros=int(state.token_seconds * _MICROSECONDS_PER_SECOND),
-            copying_to=state.copying_to,
+            copying_to=self._copying_to,
         )
 
     def is_due(self, report: wire.EngineReport, now: float) -> bool:
@@ -145,7 +146,6 @@
         unread_tokens=report.unread_tokens,
         generating=report.generating,
         token_seconds=report.token_micros / _MICROSECONDS_PER_SECOND,
-        copying_to=report.copying_to,
     )
 
 
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -1,6 +1,7 @@
 """An entry's links to the endpoint processes of all engines."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 from . import gen_wire as wire
@@ -36,6 +37,14 @@
 _OFFERED_MEMORY_SHARE = 0.9
 
 
+@dataclass(frozen=True, slots=True)
+class _ReportedCopy:
+    """Engine to which another one copies a generation, empty for none."""
+
+    target: str
+    reported_at: float
+
+
 class EngineView:
     """Keeps a link to the endpoint process of each engine.
 
@@ -69,6 +78,7 @@
         self._link_port = link_port
         self._links: dict[str, PeerLink] = {}
         self._reported_entries: dict[str, int] = {}
+        self._copies: dict[str, _ReportedCopy] = {}
         self._unlisted_since: dict[str, float] = {}
 
     def update(self) -> None:
@@ -97,6 +107,7 @@
                 self._unlisted_since.pop(address)
                 self._links.pop(address).stop()
                 self._reported_entries.pop(address, None)
+                self._copies.pop(address, None)
         for link in self._links.values():
             link.check_silence()
 
@@ -208,10 +219,10 @@
     def _list_receiving(self, now: float) -> set[str]:
         """Return the addresses of engines to which others copy generations."""
         return {
-            backend.state.copying_to
-            for backend in self._backends.backends
+            copy.target
+            for copy in self._copies.values()
             # An engine that is gone ends no copy in its last report.
-            if backend.state and now < backend.state_at + _COPY_REPORT_SECONDS
+            if now < copy.reported_at + _COPY_REPORT_SECONDS
         }
 
     def _open_link(self, address: str) -> PeerLink:
@@ -249,6 +260,10 @@
                 self._handle_other(message, link)
 
     def _handle_report(self, address: str, report: wire.EngineReport) -> None:
+        now = self._clock.monotonic()
+        # Not kept with the back end: the record of an engine that leaves may be
+        # removed before its generations are moved.
+        self._copies[address] = _ReportedCopy(report.copying_to, now)
         self._reported_entries[address] = report.entries
         self._entries.update(max(self._reported_entries.values()))
         backend = self._backends.find_address(address)
@@ -257,7 +272,7 @@
         if backend.state is None:
             log_event('reports_heard', endpoint=backend.name)
         was_stopping = backend.stopping
-        backend.update_state(state_from_report(report), self._clock.monotonic())
+        backend.update_state(state_from_report(report), now)
         if backend.stopping != was_stopping:
             log_event(
                 'endpoint_reported',
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -45,12 +45,14 @@
 
     def setUp(self):
         entries = EntryCount(68)
-        backends = BackendSet(entries)
+        self.backends = BackendSet(entries)
+        # Past the time in which removals count as the work of an outage.
+        self.backends.record_store_result(True, -60.0)
         self.connector = _FakeConnector()
         tables = mock.Mock()
         tables.engine_traits.return_value = mock.Mock(slots=24)
         self.view = EngineView(
-            backends=backends,
+            backends=self.backends,
             tables=tables,
             notices=MoveNotices(),
             entries=entries,
@@ -63,7 +65,7 @@
             record = BackendRecord(
                 f'i-{number}', 's', f'10.1.1.{number}:80', 'd1', 24
             )
-            backends.apply_record(record, 0.0)
+            self.backends.apply_record(record, 0.0)
         self.view.update()
 
 
@@ -138,6 +140,12 @@
         self.report(0, '')
         self.assertEqual([], self.receiving())
 
+    def test_target_is_marked_after_the_source_is_removed(self):
+        """Engines that leave without a word lose their record first."""
+        self.backends.remove('i-0', 0.0)
+        self.report(0, '10.1.1.5:80')
+        self.assertEqual(['10.1.1.5:80'], self.receiving())
+
     def test_engine_that_is_gone_marks_no_target(self):
         """The last report of an engine stays; its copy has ended with it."""
         with mock.patch('primrosewood.engineview._COPY_REPORT_SECONDS', 0):
