Read less often while no peer is connected

Cause: on the large site 680 of some 860 calls to the store fell into the four seconds before the first engine registered (trial, lines for each read). Without engines there is no process to forward updates, so each entry read for itself, 170 calls a second in all; from then on it was 2.5.

Change: a read that could be sent to nobody is followed by the next one after 1.0 s, not 0.4 s. An entry that has just started among engines hears updates as soon as its links are up. An entry that is cut off from all engines but not from the store learns of a change after at most 1 s.

--- a/primrosewood/readschedule.py
+++ b/primrosewood/readschedule.py
@@ -22,6 +22,9 @@
 # be in force within 2 s of their acceptance; this leaves time for a takeover
 # and for a second read after one that fails by its timeout of 0.7 s.
 _READ_INTERVAL_SECONDS = 0.4
+# The same for an entry that is connected to no peer: one that has just started
+# before the engines, of which there may be hundreds.
+_ALONE_INTERVAL_SECONDS = 1.0
 # Silence after which another entry may take over, at the earliest, and the
 # range of the random delay that is added. An update arrives within 0.05 s of
 # the read that it reports.
@@ -62,16 +65,26 @@
         """Whether the last read failed and no update has arrived since."""
         return self._failed
 
-    def record_read(self, started_at: float) -> None:
+    def record_read(self, started_at: float, shared: bool = True) -> None:
         """Record that this entry has read the service.
 
         All entries read when they start, so that the first read makes none of
         them the reader.
+
+        Parameters
+        ----------
+        started_at
+            When the read began, in monotonic seconds.
+        shared
+            Whether the read was sent to others.
         """
         self._is_reader = self._started
         self._started = True
         self._failed = False
-        self._schedule(started_at)
+        if shared:
+            self._schedule(started_at)
+        else:
+            self.next_read_at = started_at + _ALONE_INTERVAL_SECONDS
 
     def record_update(self, reader: str, now: float) -> None:
         """Record an update from another entry.
--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -49,7 +49,8 @@
         Decides when this entry reads next.
     send
         Sends a message to an endpoint process, which forwards it to the other
-        entries; uses another endpoint process each time.
+        entries; uses another endpoint process each time. Returns False if none
+        is connected.
     report_available
         Called with whether the service answers this entry or others.
     """
@@ -60,7 +61,7 @@
         view: StoreView,
         clock: Clock,
         schedule: ReadSchedule,
-        send: Callable[[Message], None],
+        send: Callable[[Message], bool],
         report_available: Callable[[bool], None],
     ) -> None:
         """Create a reader that has not read yet."""
@@ -105,9 +106,9 @@
             self._schedule.record_overtaken(self._clock.monotonic())
             log_event('reading_overtaken', 'DEBUG', newest=self._view.newest)
         else:
-            self._schedule.record_read(started_at)
             self._mark_synced(started_at)
-            self._send(self._make_update(_ALL_ENTRIES, known))
+            shared = self._send(self._make_update(_ALL_ENTRIES, known))
+            self._schedule.record_read(started_at, shared)
         finally:
             self._read_timeout = None
 
--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -64,6 +64,7 @@
         self.readers = {}
         self.partitioned = set()
         self.messages_to_drop = 0
+        self.connected = True
         self.updates = []
 
     def connect(self, name):
@@ -72,7 +73,7 @@
     def send(self, sender, message):
         if self.messages_to_drop:
             self.messages_to_drop -= 1
-            return
+            return True
         asker = getattr(message, 'asker', '')
         is_update = isinstance(message, wire.PairsTold)
         if is_update:
@@ -83,6 +84,7 @@
             )
             if is_recipient and not self.partitioned & {name, sender}:
                 reader.handle(message, _Link(self, name))
+        return self.connected
 
 
 class _Link:
@@ -153,6 +155,21 @@
         self.assertLess(self.store.read_count, 20)
         self.assertGreaterEqual(self.store.read_count, 3)
 
+    async def test_entries_without_peers_read_less_often(self):
+        """Guards against 170 calls a second by 68 entries that start first.
+
+        Until the first engine registers they know of no process that could
+        forward their updates, and each reads for itself.
+        """
+        self.bus.connected = False
+        self.bus.partitioned = {f'e{number}' for number in range(10)}
+        for number in range(10):
+            self.add(f'e{number}')
+        await asyncio.sleep(2.5)
+        self.assertLessEqual(self.store.read_count, 40)
+        await self.store.put('a', b'1')
+        await self.wait_held({'a': b'1'}, seconds=1.3)
+
     async def test_changes_and_deletions_reach_all(self):
         for number in range(5):
             self.add(f'e{number}')
