Bound how long an entry leaves failed reads to others

Cause: an entry whose last read failed waits anew whenever another such entry tries. Found at a read of the change before it landed, by asking who may starve.

Change: an entry leaves it to others for 2 s from its own failure at most. One try in 2 s by each entry is the price of the bound.

--- a/primrosewood/readschedule.py
+++ b/primrosewood/readschedule.py
@@ -30,6 +30,9 @@
 # the read that it reports.
 _TAKEOVER_SECONDS = 0.5
 _TAKEOVER_RANGE_SECONDS = 0.15
+# Longest time from a failed read for which an entry leaves it to others to try
+# again: it may be the only one that the service answers by now.
+_MAX_POSTPONED_SECONDS = 2.0
 
 
 class ReadSchedule:
@@ -57,6 +60,7 @@
         self._random = random
         self._is_reader = False
         self._failed = False
+        self._failed_at = now
         self._started = False
         self.next_read_at = now
 
@@ -106,11 +110,12 @@
         """Record a failed read; others may be able to read instead."""
         self._is_reader = False
         self._failed = True
+        self._failed_at = now
         self._schedule(now)
 
     def record_attempt_elsewhere(self, now: float) -> None:
         """Record that another entry, whose last read failed, reads again."""
-        if self._failed:
+        if self._failed and now < self._failed_at + _MAX_POSTPONED_SECONDS:
             self._schedule(now)
 
     def read_now(self, now: float) -> None:
