Wait for settings to be in force in tests of heads; pass metrics in a test

test_connection_with_tls built a LinkServer without the metrics that it now needs: the test follows the signature.

test_slow_head slept 0.9 s for a new table and then expected its timeout. The log of the run shows the table in force 0.982 s after the first one: an entry whose first read comes before any link is connected reads again after 1.0 s (it was 0.4 to 0.6 s), as it had nobody to share the read with. That is within the 2 s in which a change must be in force. The three tests that slept wait until the table is in force, 2 s at most, which they did not check before.

Ruled out: load; the same entry read at 1.625 and 2.607 s, by its schedule.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -16,6 +16,7 @@
 from primrosewood.errors import SettingsInvalidError
 from primrosewood.gen_process import Limits, Listen, TlsSettings
 from primrosewood.linkserver import LinkServer, LinkServerCallbacks
+from primrosewood.metrics import Metrics
 from primrosewood.settings import SettingsStore
 
 from .processes.harness import free_port
@@ -101,7 +102,9 @@
         side = LinkServerCallbacks(
             lambda: welcome, lambda: load, lambda *_: None, lambda _: None
         )
-        server = LinkServer(SettingsStore(), 'key-of-the-processes', side)
+        server = LinkServer(
+            SettingsStore(), 'key-of-the-processes', side, Metrics()
+        )
         port = free_port()
         url = f'wss://127.0.0.1:{port}'
         async with server.listen(Listen(port), Limits(), server_tls):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -75,6 +75,17 @@
         self.assertTrue(response_start.endswith(b' 400'))
         self.assertEqual([], self.service.ran)
 
+    async def limit_heads(self):
+        """Put a timeout of 0.2 s for heads in force."""
+        table = make_table(2, prefix='/moved/', header_timeout_ms=200)
+        await self.put('op/config', table)
+
+        async def is_in_force():
+            # Without a key: 404 before, and nothing runs in either case.
+            return await self.status('GET', '/moved/', headers={}) == 401
+
+        await self.wait_for(is_in_force, seconds=2)
+
     async def send_parts(self, *parts):
         """Send a request's head in parts.
 
@@ -94,8 +105,7 @@
         Nothing closed them, so that a client could use up the entry's file
         descriptors.  The 408 is correct, as no back end got the request.
         """
-        await self.put('op/config', make_table(2, header_timeout_ms=200))
-        await asyncio.sleep(0.9)
+        await self.limit_heads()
         incomplete_head = b'GET /open/ HTTP/1.1\r\nHost: h.exa'
         response_start, reader = await self.send_parts(incomplete_head)
         self.assertEqual(b'HTTP/1.1 408', response_start)
@@ -104,8 +114,7 @@
         self.assertEqual([], self.service.ran)
 
     async def test_slow_head_on_a_reused_connection(self):
-        await self.put('op/config', make_table(2, header_timeout_ms=200))
-        await asyncio.sleep(0.9)
+        await self.limit_heads()
         complete_request = (
             b'GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n' + LAST_HEADER
         )
@@ -118,8 +127,7 @@
 
     async def test_head_in_two_packets_and_an_idle_connection(self):
         """The timeout of heads must not apply to an idle connection."""
-        await self.put('op/config', make_table(2, header_timeout_ms=200))
-        await asyncio.sleep(0.9)
+        await self.limit_heads()
         response_start, reader = await self.send_parts(
             b'GET /nowhere/ HTTP/1.1\r\nHost', b': h.example\r\n' + LAST_HEADER
         )
