--- a/tests/test_backendset.py
+++ b/tests/test_backendset.py
@@ -153,3 +153,17 @@
         self.backends.remove('e1', 101)
         self.assertFalse(self.backends.announce(make_record(), 102))
         self.assertEqual([], self.usable_names())
+
+    def test_record_at_an_address_that_another_engine_has_taken(self):
+        """All entries restart, while records of lost engines still stand.
+
+        Guards against sends to engines that are gone: others have started at
+        their addresses and refuse the calls, which uses up the retries.
+        """
+        old = BackendRecord('old', 's', 'a:1', 'd1', 8, boot=1)
+        new = BackendRecord('new', 's', 'a:1', 'd1', 8, boot=2)
+        for records in ((old, new), (new, old)):
+            self.setUp()
+            for record in records:
+                self.backends.apply_record(record, 100)
+            self.assertEqual(['new'], self.usable_names())
