Take the pause of a stream from one method

record_event worked out the time since the last event as silence() does. Behaviour is the same: lint and tests of relay, losses and log story pass.

--- a/primrosewood/callprogress.py
+++ b/primrosewood/callprogress.py
@@ -54,10 +54,11 @@
 
     def record_event(self, now: float) -> None:
         """Record that events are sent to the caller."""
-        if self.first_event is None:
+        pause = self.silence(now)
+        if pause is None:
             self.first_event = now - self.call.arrived
-        elif now - self._last_event_at > self.longest_pause:
-            self.longest_pause = now - self._last_event_at
+        elif pause > self.longest_pause:
+            self.longest_pause = pause
             self.pause_after = self._last_event
         self._last_event_at = now
         self._last_event = self.order.last
