Let the CBOR library write the head of a frame

The change that encodes a broadcast once had written the three forms of a CBOR array's head by hand, with five constants. The library has encode_length for it. The bytes are the same: test_frames_of_any_length compares whole frames of 0 to 1,000 messages with the library's own, and is unchanged.

--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from io import BytesIO
 from types import MappingProxyType
 from typing import Any
 
@@ -64,13 +65,8 @@
 )
 
 
-# First byte of a CBOR array: its length if that is small, else the number that
-# announces a length of one or two bytes.
-_ARRAY_START = 0x80
-_MAX_SHORT_LENGTH = 23
-_ONE_BYTE_LENGTH = 24
-_TWO_BYTE_LENGTH = 25
-_MAX_ONE_BYTE_LENGTH = 255
+# Major type of arrays in CBOR.
+_CBOR_ARRAY = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,8 +94,10 @@
 
 def join_frame(messages: Sequence[EncodedMessage]) -> bytes:
     """Return a frame that contains the messages in order."""
-    bodies = (message.body for message in messages)
-    return _array_head(len(messages)) + b''.join(bodies)
+    frame = BytesIO()
+    cbor2.CBOREncoder(frame).encode_length(_CBOR_ARRAY, len(messages))
+    frame.writelines(message.body for message in messages)
+    return frame.getvalue()
 
 
 def serialise_frame(messages: Sequence[Message]) -> bytes:
@@ -127,14 +125,6 @@
     return [_decode_message(encoded) for encoded in encoded_messages]
 
 
-def _array_head(length: int) -> bytes:
-    if length <= _MAX_SHORT_LENGTH:
-        return bytes((_ARRAY_START + length,))
-    if length <= _MAX_ONE_BYTE_LENGTH:
-        return bytes((_ARRAY_START + _ONE_BYTE_LENGTH, length))
-    return bytes((_ARRAY_START + _TWO_BYTE_LENGTH, *length.to_bytes(2)))
-
-
 def _decode_message(encoded: Any) -> Message:
     try:
         code, fields = encoded
