Tell entries only what changed, once, in pieces and within bounds

Cause: traced in a simulation without network of entries, endpoint processes and back ends that start within a second (tests/test_fleet_start.py). At 150 entries and 150 engines 560 MB of PairsTold passed between processes in ten seconds, 3.7 MB into an entry whose view has 35 KB. Three sources: (1) back ends rewrite their records every 1.2 s with a higher counter, and each rewritten record was sent to every entry; (2) an entry that missed an update read at once, and then sent all that it read to all, which made the next one miss something; (3) entries that start together read again at the same moment and all sent what they read. The suspected queries are not the main source: none was sent in the simulation while the store answered. They were answered by all all the same.

Change: a view tells rewritten values from changed ones by their content, which the adapter selects, and neither applies nor sends them; a digest of all contents finds views that differ, which are listed anew. Reads that catch up are not sent. An entry without peers reads after a random time. Queries are answered by two. Large updates are sent in pieces by way of different processes. A link with over 256 KB pending drops what is sent again anyway, with a counter and a log line. A record that another engine contradicted is tried again after 10 s, as rewriting it no longer reaches every entry.

--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -20,6 +20,9 @@
 _FAILURE_RATE_SECONDS = 12.0
 # Engines report at least twice a second; an older report is stale.
 _MAX_REPORT_AGE_SECONDS = 3.0
+# The platform removes the record of a back end that is gone within 3.6 s. One
+# that still stands after this long is tried again.
+_MISDIRECTED_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +112,7 @@
     misdirected_revision
         Revision of its record when another back end answered at its address,
         -1 if none has.
-    state_at, suspect_until, cold_until
+    misdirected_at, state_at, suspect_until, cold_until
         Monotonic seconds.
     """
 
@@ -127,6 +130,7 @@
     announced_at: float | None = None
     failure_rate: float = 0
     misdirected_revision: int = -1
+    misdirected_at: float = 0
     suspect_until: float = 0
     cold_until: float = 0
 
@@ -180,9 +184,15 @@
         self._replace_state(None)
         return True
 
-    def mark_misdirected(self) -> None:
-        """Send no calls there until its record is written again."""
+    def mark_misdirected(self, now: float) -> None:
+        """Send no calls there until its record has changed, or for a while."""
         self.misdirected_revision = self.record.revision
+        self.misdirected_at = now
+
+    def retry_misdirected(self, now: float) -> None:
+        """Allow calls again if its record has stood for long."""
+        if now > self.misdirected_at + _MISDIRECTED_SECONDS:
+            self.misdirected_revision = -1
 
     def mark_suspect(self, now: float) -> None:
         """Avoid it for a moment, as it did not accept a call."""
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -308,7 +308,7 @@
 
     def _record_refusal(self, backend: Backend, error: NotRunError) -> None:
         if isinstance(error, MisdirectedError):
-            backend.mark_misdirected()
+            backend.mark_misdirected(self._now())
             log_decision(
                 'endpoint_misplaced',
                 endpoint=backend.name,
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -8,6 +8,8 @@
 import asyncio
 from dataclasses import replace
 
+from msgspec import structs
+
 from . import gen_wire as wire
 from .backendstate import EngineState
 from .clock import Clock, RandomSource
@@ -35,6 +37,9 @@
 # Any entry can answer a query; several are asked because one of them may be
 # partitioned or may have just started.
 _MAX_ASKED_ENTRIES = 3
+# The same for queries that are answered with all changes since a revision, for
+# a new entry with the whole configuration.
+_MAX_ASKED_FOR_CHANGES = 2
 # Reported while the engine does not answer, so that it gets no new calls.
 _UNREACHABLE_STATE = EngineState(leaving=True)
 
@@ -162,12 +167,14 @@
             self._broadcast(message, link)
 
     def _forward_query(self, message: wire.PairsAsk, link: Link) -> None:
+        asked = self.server.send_to_some(
+            message, _MAX_ASKED_FOR_CHANGES, exclude=link
+        )
         if message.to_all:
-            self._broadcast(message, link)
-        else:
-            self._send_to_some(message, link)
+            notice = structs.replace(message, answer_wanted=False)
+            self.server.broadcast(notice, exclude=(link, *asked))
 
-    def _broadcast(self, message: Message, exclude: Link | None = None) -> None:
+    def _broadcast(self, message: Message, *exclude: Link) -> None:
         self.server.broadcast(message, exclude=exclude)
 
     def _send_to_some(
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -101,6 +101,7 @@
         """Drop outdated reports, silent links and links of removed engines."""
         now = self._clock.monotonic()
         for backend in self._backends.backends:
+            backend.retry_misdirected(now)
             if backend.drop_stale_state(now):
                 log_event('reports_stopped', 'WARNING', endpoint=backend.name)
         for address, since in list(self._unlisted_since.items()):
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -392,6 +392,18 @@
     """
     Whether all entries get the message, because the sender's previous read failed and it reads again now; otherwise a few get it.
     """
+    answer_wanted: (
+        Annotated[
+            bool,
+            Meta(
+                description='False for entries that only learn that the sender reads again.'
+            ),
+        ]
+        | UnsetType
+    ) = True
+    """
+    False for entries that only learn that the sender reads again.
+    """
 
 
 class PairsTold(Struct, array_like=True):
@@ -433,6 +445,41 @@
     """
     Name of the process that sends the changes; empty from older processes.
     """
+    pieces: (
+        Annotated[
+            int,
+            Meta(
+                description='Number of messages in which the changes are sent, each by way of another process.',
+                ge=1,
+            ),
+        ]
+        | UnsetType
+    ) = 1
+    """
+    Number of messages in which the changes are sent, each by way of another process.
+    """
+    piece: (
+        Annotated[
+            int, Meta(description='Number of this message among them, from 0.', ge=0)
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Number of this message among them, from 0.
+    """
+    digest: (
+        Annotated[
+            int,
+            Meta(
+                description='Digest of all keys and contents that the sender holds at the latest revision; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Digest of all keys and contents that the sender holds at the latest revision; 0 from older processes.
+    """
 
 
 class Queued(Struct, array_like=True):
--- a/primrosewood/link.py
+++ b/primrosewood/link.py
@@ -33,6 +33,12 @@
 # Large messages, each of which gets a frame of its own.
 _UNBATCHED_TYPES = (wire.Offer, wire.Reply, wire.SettingsPush)
 _MAX_MESSAGES_PER_FRAME = 128
+# What these say is sent again or can be read elsewhere. They are dropped on a
+# link that already holds more bytes than this.
+_REPEATED_TYPES = frozenset(
+    (wire.EngineReport, wire.EngineFound, wire.PairsAsk, wire.PairsTold)
+)
+_MAX_PENDING_BYTES = 262_144
 
 
 class MessageSource(Protocol):
@@ -49,6 +55,7 @@
     the link never delays a message to fill a frame. Token streams are not
     queued but registered as sources, which supply their messages when a frame
     is built, so that a slow link holds stream offsets and no copies of tokens.
+    Messages that are repeated anyway are dropped when too many bytes wait.
     """
 
     def __init__(self, socket: Connection, metrics: Metrics) -> None:
@@ -56,6 +63,8 @@
         self._socket = socket
         self._metrics = metrics
         self._outbox: list[EncodedMessage] = []
+        self._pending_bytes = 0
+        self._behind = False
         self._ready_sources: dict[MessageSource, None] = {}
         self._output_pending = asyncio.Event()
         self._closed = False
@@ -71,7 +80,12 @@
 
     def send_encoded(self, message: EncodedMessage) -> None:
         """Queue a message that was encoded once for several links."""
+        full = self._pending_bytes > _MAX_PENDING_BYTES
+        if full and message.kind in _REPEATED_TYPES:
+            self._drop(message)
+            return
         self._outbox.append(message)
+        self._pending_bytes += len(message.body)
         self._output_pending.set()
 
     def notify(self, source: MessageSource) -> None:
@@ -132,6 +146,17 @@
         for frame_messages in _group_by_frame(messages):
             self._count(frame_messages)
             await self._socket.send(join_frame(frame_messages))
+        self._pending_bytes = sum(len(each.body) for each in self._outbox)
+        self._behind = False
+
+    def _drop(self, message: EncodedMessage) -> None:
+        kind = message.kind.__name__
+        self._metrics.count('messages_dropped', kind)
+        if not self._behind:
+            self._behind = True
+            log_event(
+                'link_behind', 'WARNING', kind=kind, bytes=self._pending_bytes
+            )
 
     def _count(self, messages: list[EncodedMessage]) -> None:
         sizes: dict[str, list[int]] = {}
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
@@ -214,21 +214,30 @@
             max_size=_MAX_FRAME_BYTES,
         )
 
-    def broadcast(self, message: Message, exclude: Link | None = None) -> None:
-        """Send a message to every peer except the excluded one."""
+    def broadcast(
+        self, message: Message, exclude: Collection[Link] = ()
+    ) -> None:
+        """Send a message to every peer except the excluded ones."""
         encoded = encode_message(message)
         for link in self._links:
-            if link is not exclude:
+            if link not in exclude:
                 link.send_encoded(encoded)
 
     def send_to_some(
         self, message: Message, limit: int, exclude: Link | None = None
-    ) -> None:
-        """Send a message to a limited number of peers, in rotation."""
+    ) -> list[Link]:
+        """Send a message to a limited number of peers, in rotation.
+
+        Returns
+        -------
+        list[Link]
+            The links on which it was sent.
+        """
         chosen = [link for link in self._links if link is not exclude][:limit]
         for link in chosen:
             link.send(message)
             self._links[link] = self._links.pop(link)
+        return chosen
 
     def send_to(self, peer: str, message: Message) -> None:
         """Send a message to a peer by its process name, if connected."""
--- a/primrosewood/platform/discovery.py
+++ b/primrosewood/platform/discovery.py
@@ -9,13 +9,18 @@
 from ..backendset import BackendSet
 from ..clock import Clock
 from ..errors import WireError
-from ..kv import Pair
+from ..kv import KeyValue, Pair
 from ..logs import log_decision, log_event
 from ..routes import TableHolder
+from ..storeview import StoreView
 from . import documents
 
 __all__ = ('Discovery',)
 
+# All keys are read in one listing, as the platform charges for each call and
+# not for what it returns.
+_ALL_KEYS_PREFIX = ''
+
 
 class Discovery:
     """Applies changed keys to an entry's routes and back ends.
@@ -46,6 +51,12 @@
         self._on_change = on_change
         self._store_available: bool | None = None
 
+    def make_view(self, store: KeyValue) -> StoreView:
+        """Return a view of the service whose changes are applied here."""
+        return StoreView(
+            store, _ALL_KEYS_PREFIX, self.apply_pair, documents.select_content
+        )
+
     def apply_pair(self, key: str, pair: Pair | None) -> None:
         """Apply a key's new value, None for a deletion.
 
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -4,6 +4,7 @@
 package's own types.
 """
 
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -26,6 +27,7 @@
     'TABLE_KEY',
     'parse_backend',
     'parse_table',
+    'select_content',
 )
 
 TABLE_KEY = 'op/config'
@@ -33,6 +35,8 @@
 BACKENDS_PREFIX = 'servers/'
 
 _MS_PER_SECOND = 1000
+# Counter that a back end raises whenever it writes its record again.
+_COUNTER = re.compile(rb'"sequence"\s*:\s*\d+')
 
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
@@ -191,6 +195,13 @@
     )
 
 
+def select_content(key: str, stored: bytes) -> bytes:
+    """Return a value without the counter that only shows its writer alive."""
+    if key.startswith(BACKENDS_PREFIX):
+        return _COUNTER.sub(b'', stored)
+    return stored
+
+
 def _to_route(route: _Route) -> Route:
     targets = [Target(share.service, share.weight) for share in route.split]
     return Route(
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -35,7 +35,6 @@
 from ..sharedlimits import EntryCount, RepeatRule
 from ..sharedreader import SharedReader
 from ..stopping import StopWindow
-from ..storeview import StoreView
 from ..unsent import has_unsent_data
 from .discovery import Discovery
 from .engines import HttpTransport
@@ -56,9 +55,6 @@
 _BALANCER_DETECTION_SECONDS = 2.6
 # Part of the time until SIGKILL that is kept free to close connections.
 _CLOSE_RESERVE_SECONDS = 0.4
-# All keys are read in one listing, as the platform charges for each call and
-# not for what it returns.
-_ALL_KEYS_PREFIX = ''
 
 
 class EntryNode:
@@ -103,9 +99,7 @@
         )
         self._store_reader = SharedReader(
             name=settings.name,
-            view=StoreView(
-                self._store, _ALL_KEYS_PREFIX, self._discovery.apply_pair
-            ),
+            view=self._discovery.make_view(self._store),
             clock=self._clock,
             schedule=ReadSchedule(
                 settings.name,
@@ -115,6 +109,7 @@
             ),
             send=self._engines.send_to_one,
             report_available=self._discovery.record_store_result,
+            entries=self._entries,
         )
         self._stop_window = StopWindow(
             settings.limits.stop_seconds - _CLOSE_RESERVE_SECONDS,
--- a/primrosewood/readschedule.py
+++ b/primrosewood/readschedule.py
@@ -23,8 +23,11 @@
 # and for a second read after one that fails by its timeout of 0.7 s.
 _READ_INTERVAL_SECONDS = 0.4
 # The same for an entry that is connected to no peer: one that has just started
-# before the engines, of which there may be hundreds.
-_ALONE_INTERVAL_SECONDS = 1.0
+# before the engines, of which there may be hundreds. Where hundreds of entries
+# start at once, the random part keeps them from all reading again, and sending
+# all changes to all others, as soon as they are connected.
+_ALONE_INTERVAL_SECONDS = 0.5
+_ALONE_RANGE_SECONDS = 0.6
 # Silence after which another entry may take over, at the earliest, and the
 # range of the random delay that is added. An update arrives within 0.05 s of
 # the read that it reports.
@@ -62,6 +65,7 @@
         self._failed = False
         self._failed_at = now
         self._started = False
+        self._catching_up = False
         self.next_read_at = now
 
     @property
@@ -69,6 +73,11 @@
         """Whether the last read failed and no update has arrived since."""
         return self._failed
 
+    @property
+    def catching_up(self) -> bool:
+        """Whether the next read is for changes that others know already."""
+        return self._catching_up
+
     def record_read(self, started_at: float, shared: bool = True) -> None:
         """Record that this entry has read the service.
 
@@ -88,7 +97,14 @@
         if shared:
             self._schedule(started_at)
         else:
-            self.next_read_at = started_at + _ALONE_INTERVAL_SECONDS
+            delay = _ALONE_RANGE_SECONDS * self._draw_late_share()
+            self.next_read_at = started_at + _ALONE_INTERVAL_SECONDS + delay
+
+    def record_caught_up(self, started_at: float) -> None:
+        """Record a read that `read_now` has asked for."""
+        self._catching_up = False
+        self._failed = False
+        self._schedule(started_at)
 
     def record_update(self, reader: str, now: float) -> None:
         """Record an update from another entry.
@@ -99,6 +115,7 @@
         if reader < self._name:
             self._is_reader = False
         self._failed = False
+        self._catching_up = False
         self._schedule(now)
 
     def record_overtaken(self, now: float) -> None:
@@ -109,6 +126,7 @@
     def record_failure(self, now: float) -> None:
         """Record a failed read; others may be able to read instead."""
         self._is_reader = False
+        self._catching_up = False
         self._failed = True
         self._failed_at = now
         self._schedule(now)
@@ -119,7 +137,8 @@
             self._schedule(now)
 
     def read_now(self, now: float) -> None:
-        """Make the next read due at once."""
+        """Make a read due at once, for changes that others know already."""
+        self._catching_up = True
         self.next_read_at = now
 
     def _schedule(self, since: float) -> None:
--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -15,6 +15,8 @@
 import asyncio
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from . import gen_wire as wire
 from .clock import Clock
 from .codec import Message
@@ -24,12 +26,20 @@
 from .logs import log_decision, log_event
 from .patches import apply_patch, compress_value, decompress_value, make_patch
 from .readschedule import ReadSchedule
+from .sharedlimits import EntryCount
 from .storeview import StoreView
 
 __all__ = ('SharedReader',)
 
 # A failed read is no outage while updates from others are younger than this.
 _STALE_SECONDS = 1.0
+# Least time between two listings that disagreeing digests cause.
+_LISTING_INTERVAL_SECONDS = 5.0
+# Bytes of changes that one process forwards to all entries at a time. Larger
+# updates are divided over as many processes: one that forwards the records of
+# hundreds of engines to hundreds of entries would send megabytes.
+_FORWARDED_BYTES = 32_768
+_MIN_PIECE_BYTES = 512
 # Recipient of an update that does not reply to one entry's query.
 _ALL_ENTRIES = ''
 # Compressing smaller values saves too little.
@@ -53,6 +63,8 @@
         is connected.
     report_available
         Called with whether the service answers this entry or others.
+    entries
+        Number of entries that share reads.
     """
 
     def __init__(
@@ -63,6 +75,7 @@
         schedule: ReadSchedule,
         send: Callable[[Message], bool],
         report_available: Callable[[bool], None],
+        entries: EntryCount,
     ) -> None:
         """Create a reader that has not read yet."""
         self._name = name
@@ -71,7 +84,10 @@
         self._schedule = schedule
         self._send = send
         self._report_available = report_available
+        self._entries = entries
+        self._pieces = _PieceCounter()
         self._synced_at = float('-inf')
+        self._listed_at = float('-inf')
         self._read_timeout: asyncio.Timeout | None = None
 
     async def run(self) -> None:
@@ -107,11 +123,17 @@
             log_event('reading_overtaken', 'DEBUG', newest=self._view.newest)
         else:
             self._mark_synced(started_at)
-            shared = self._send(self._make_update(_ALL_ENTRIES, known))
-            self._schedule.record_read(started_at, shared)
+            self._record_read(known, started_at)
         finally:
             self._read_timeout = None
 
+    def _record_read(self, known: int, started_at: float) -> None:
+        """Share what was read, if the others may not know it yet."""
+        if self._schedule.catching_up:
+            self._schedule.record_caught_up(started_at)
+        else:
+            self._schedule.record_read(started_at, self._share(known))
+
     def _handle_read_failure(self, error: StoreUnavailableError) -> None:
         now = self._clock.monotonic()
         failed_before = self._schedule.failed
@@ -138,19 +160,44 @@
             # Its next read may be postponed until the service is back.
             self._report_available(False)
         # Keys that were last read before an outage may be outdated.
-        if not stale and self._view.newest > query.since:
-            link.send(self._make_update(query.asker, query.since))
+        is_newer = self._view.newest > query.since
+        if query.answer_wanted and is_newer and not stale:
+            pairs = self._encode_changes(query.asker, query.since)
+            link.send(self._make_update(query.asker, query.since, pairs))
+
+    def _share(self, since: int) -> bool:
+        """Send what changed to all entries; return whether any is reached."""
+        pairs = self._encode_changes(_ALL_ENTRIES, since)
+        piece_bytes = max(
+            _MIN_PIECE_BYTES, _FORWARDED_BYTES // self._entries.count
+        )
+        groups = _group_by_size(pairs, piece_bytes)
+        update = self._make_update(_ALL_ENTRIES, since, [])
+        update.pieces = len(groups)
+        sent = [
+            self._send(replace(update, piece=number, pairs=group))
+            for number, group in enumerate(groups)
+        ]
+        return all(sent)
 
-    def _make_update(self, asker: str, since: int) -> wire.PairsTold:
-        changes = self._view.changes_since(since)
+    def _make_update(
+        self, asker: str, since: int, pairs: list[wire.StoredPair]
+    ) -> wire.PairsTold:
         return wire.PairsTold(
             asker=asker,
             since=since,
             newest=self._view.newest,
-            pairs=[self._encode_change(asker, since, each) for each in changes],
+            pairs=pairs,
             reader=self._name,
+            digest=self._view.digest,
         )
 
+    def _encode_changes(self, asker: str, since: int) -> list[wire.StoredPair]:
+        return [
+            self._encode_change(asker, since, change)
+            for change in self._view.changes_since(since)
+        ]
+
     def _cancel_read(self) -> None:
         """Cancel a read in progress that an update has made redundant.
 
@@ -199,6 +246,10 @@
             self._view.merge_from_peer(changes, known)
             self._schedule.read_now(self._clock.monotonic())
             return
+        if not self._pieces.is_last(update):
+            # If the other pieces do not arrive, the next read is due as before.
+            self._view.merge_from_peer(changes, known)
+            return
         self._view.merge_from_peer(changes, update.newest)
         now = self._clock.monotonic()
         self._schedule.record_update(update.reader, now)
@@ -211,6 +262,24 @@
                 newest=update.newest,
                 changes=len(changes),
             )
+        self._compare(update, now)
+
+    def _compare(self, update: wire.PairsTold, now: float) -> None:
+        """List everything if the sender holds something else.
+
+        A value that was deleted and written again between two reads of the
+        sender looks rewritten to it, and is not sent.
+        """
+        agrees = update.digest in {0, self._view.digest}
+        if agrees or update.newest != self._view.newest:
+            return
+        if now > self._listed_at + _LISTING_INTERVAL_SECONDS:
+            self._listed_at = now
+            log_event(
+                'views_differ', reader=update.reader, newest=update.newest
+            )
+            self._view.require_listing()
+            self._schedule.read_now(now)
 
     def _decode_change(self, received: wire.StoredPair) -> Change | None:
         """Decode a received pair; return None if it cannot be applied."""
@@ -232,6 +301,39 @@
         return Change(received.key, received.revision, pair)
 
 
+class _PieceCounter:
+    """Counts the pieces of the update that is being received."""
+
+    def __init__(self) -> None:
+        """Start without pieces."""
+        self._update: tuple[str, int, int] = ('', 0, 0)
+        self._received: set[int] = set()
+
+    def is_last(self, update: wire.PairsTold) -> bool:
+        """Count a piece; return whether the update is complete with it."""
+        identity = (update.reader, update.since, update.newest)
+        if self._update != identity:
+            self._update = identity
+            self._received = set()
+        self._received.add(update.piece)
+        return len(self._received) >= update.pieces
+
+
+def _group_by_size(
+    pairs: list[wire.StoredPair], group_bytes: int
+) -> list[list[wire.StoredPair]]:
+    """Divide pairs into groups of a size; at least one, which may be empty."""
+    groups: list[list[wire.StoredPair]] = [[]]
+    size = 0
+    for pair in pairs:
+        if size >= group_bytes:
+            groups.append([])
+            size = 0
+        groups[-1].append(pair)
+        size += len(pair.key) + len(pair.stored)
+    return groups
+
+
 def _decode_value(received: wire.StoredPair, known: Pair | None) -> bytes:
     inserted = (
         decompress_value(received.stored)
--- a/primrosewood/storeview.py
+++ b/primrosewood/storeview.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable, Iterable
 
+import xxhash
+
 from .errors import HistoryLostError
 from .kv import Change, KeyValue, Pair
 
-__all__ = ('ChangeHandler', 'StoreView')
+__all__ = ('ChangeHandler', 'ContentSelector', 'StoreView')
 
 # Deletions kept so that a listing read before them cannot restore the key.
 _MAX_DELETIONS_KEPT = 4096
@@ -21,11 +23,22 @@
 # be reported more than once.
 ChangeHandler = Callable[[str, Pair | None], None]
 
+# Returns the part of a key's value that matters to its readers.
+ContentSelector = Callable[[str, bytes], bytes]
+
+
+def _select_all(_key: str, stored: bytes) -> bytes:
+    """Return the whole value; the default of `select_content`."""
+    return stored
+
 
 class StoreView:
     """Local copy of a prefix, fed by listings, watches and peers.
 
-    Where these sources overlap, the highest revision of a key wins.
+    Where these sources overlap, the highest revision of a key wins. A value
+    that is rewritten with the same content is kept, and otherwise ignored:
+    thousands of back ends rewrite their records every second or so to show
+    that they are alive.
 
     Parameters
     ----------
@@ -36,16 +49,27 @@
     on_change
         Called with each change, possibly more than once; the pair is None
         for a deletion.
+    select_content
+        Returns the content of a value, by which rewritten values are told from
+        changed ones.
     """
 
     def __init__(
-        self, store: KeyValue, prefix: str, on_change: ChangeHandler
+        self,
+        store: KeyValue,
+        prefix: str,
+        on_change: ChangeHandler,
+        select_content: ContentSelector = _select_all,
     ) -> None:
         """Create an empty view."""
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
+        self._select_content = select_content
         self._known: dict[str, Pair] = {}
+        # Revisions at which the contents of the known keys last changed.
+        self._content_revisions: dict[str, int] = {}
+        self._digest = 0
         self._deleted: dict[str, int] = {}
         self._previous: dict[str, Pair] = {}
         self._newest = 0
@@ -57,6 +81,11 @@
         """Highest revision reported by the service or by peers."""
         return max(self._newest, self._peer_newest)
 
+    @property
+    def digest(self) -> int:
+        """Digest of all known keys and their contents."""
+        return self._digest
+
     def find(self, key: str) -> Pair | None:
         """Return the pair of a key, None if it is not known."""
         return self._known.get(key)
@@ -79,6 +108,10 @@
         if not await self._read_changes():
             await self.list_all()
 
+    def require_listing(self) -> None:
+        """Let the next read list everything."""
+        self._change_reads_left = 0
+
     async def list_all(self) -> None:
         """List the whole prefix and report keys that are gone as deleted."""
         before = dict(self._known)
@@ -98,11 +131,14 @@
         self._change_reads_left = _READS_PER_LISTING
 
     def changes_since(self, revision: int) -> list[Change]:
-        """Return the known changes and deletions after a revision."""
+        """Return the known changes and deletions after a revision.
+
+        Values that were only rewritten since then are left out.
+        """
         changes = [
-            Change(pair.key, pair.revision, pair)
-            for pair in self._known.values()
-            if pair.revision > revision
+            Change(key, self._known[key].revision, self._known[key])
+            for key, changed in self._content_revisions.items()
+            if changed > revision
         ]
         changes += [
             Change(key, deleted, None)
@@ -135,8 +171,13 @@
             listed = await self._store.list_changes(self._prefix, known)
         except HistoryLostError:
             return False
-        # Only the last change of each key is applied.
-        latest = {change.key: change for change in listed.changes}
+        # Of each key the last change is applied, and a deletion before it: a
+        # value that returns is no rewritten one.
+        latest: dict[tuple[str, bool], Change] = {}
+        for change in listed.changes:
+            place = (change.key, change.pair is None)
+            latest.pop(place, None)
+            latest[place] = change
         for change in latest.values():
             self._apply(change)
         last_revision = max(
@@ -156,15 +197,34 @@
             self._apply_pair(change.pair)
 
     def _apply_pair(self, pair: Pair) -> None:
+        key = pair.key
+        known = self._known.get(key)
         # A listing may be older than what the watch has reported meanwhile,
         # and must not restore a deleted key or an older value.
-        deleted = self._deleted.get(pair.key, 0)
-        if pair.revision < max(deleted, self._known_revision(pair.key)):
+        if pair.revision < self._deleted.get(key, 0):
+            return
+        if known is not None and pair.revision <= known.revision:
             return
         self._keep_previous(pair)
-        self._known[pair.key] = pair
-        self._deleted.pop(pair.key, None)
-        self._on_change(pair.key, pair)
+        self._known[key] = pair
+        self._deleted.pop(key, None)
+        if known is None or not self._is_rewritten(known, pair):
+            self._toggle_digest(known)
+            self._toggle_digest(pair)
+            self._content_revisions[key] = pair.revision
+            self._on_change(key, pair)
+
+    def _is_rewritten(self, known: Pair, pair: Pair) -> bool:
+        select = self._select_content
+        return select(pair.key, known.stored) == select(pair.key, pair.stored)
+
+    def _toggle_digest(self, pair: Pair | None) -> None:
+        """Add a pair to the digest, or take it out again."""
+        if pair is not None:
+            content = self._select_content(pair.key, pair.stored)
+            self._digest ^= xxhash.xxh3_64_intdigest(
+                b'%s\0%s' % (pair.key.encode(), content)
+            )
 
     def _keep_previous(self, pair: Pair) -> None:
         known = self._known.get(pair.key)
@@ -175,7 +235,8 @@
     def _apply_deletion(self, key: str, revision: int) -> None:
         if revision < self._known_revision(key):
             return
-        self._known.pop(key, None)
+        self._toggle_digest(self._known.pop(key, None))
+        self._content_revisions.pop(key, None)
         self._previous.pop(key, None)
         self._deleted.pop(key, None)
         self._deleted[key] = revision
--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -130,6 +130,7 @@
             ),
             send=self.bus.connect(name),
             report_available=reported.append,
+            entries=self.entries,
         )
         task = asyncio.create_task(self.bus.readers[name].run())
         self.addCleanup(task.cancel)
