Count what waits at an engine as memory, and log the expected first event

Cause: the balancer took what runs on an engine for its use of memory. Prompts in an engine's queue hold none yet, so that a full engine with 15,000 tokens in its queue looked like a full one without any.

Change: reports say how many tokens wait and how many ending generations free each second. The expected time to the first event counts the wait for memory, and is logged with each generation that is sent.

--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -75,6 +75,10 @@
         Number of generations that have produced an event.
     token_seconds
         Recent seconds per decoded token, 0 when nothing ran.
+    queued_tokens
+        Prompt tokens of the waiting generations, which hold no memory yet.
+    freed_per_second
+        Memory in tokens that ending generations have lately freed each second.
     """
 
     running: int = 0
@@ -85,6 +89,8 @@
     unread_tokens: int = 0
     generating: int = 0
     token_seconds: float = 0
+    queued_tokens: int = 0
+    freed_per_second: float = 0
 
 
 @dataclass(slots=True, eq=False)
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -15,6 +15,7 @@
     'PlacementContext',
     'Reservation',
     'ReservedTokens',
+    'expected_first_event',
 )
 
 
@@ -44,6 +45,9 @@
 # Risk that a generation on a full engine is cut when that engine leaves: the
 # notice period is long enough to copy only part of its memory.
 _LEAVE_RISK = 0.15
+# Part of a full engine's memory that is assumed to become free each second if
+# it has not reported any generation that ended.
+_FREED_SHARE = 0.1
 # Usual duration of a plain call.  A back end with all slots in use queues the
 # next call for about this long.
 _PLAIN_CALL_SECONDS = 0.1
@@ -219,9 +223,7 @@
     if state is not None:
         token_seconds = state.token_seconds or token_seconds
         generating = state.generating
-    first_event_seconds = (
-        backend.prefill_backlog + tokens.prompt
-    ) / context.prompt_rate
+    first_event_seconds = expected_first_event(backend, context)
     answer_seconds = first_event_seconds + tokens.answer * token_seconds
     added_delay = (
         _DELAYED_SHARE * generating * tokens.prompt / context.prompt_rate
@@ -244,18 +246,47 @@
     return _LEAVE_RISK * share**2 + excess**2
 
 
-def _memory_share(backend: Backend, context: PlacementContext) -> float:
-    """Return the share of memory that would be in use with the call.
+def expected_first_event(backend: Backend, context: PlacementContext) -> float:
+    """Return the expected seconds from a send to the first event.
+
+    The prompt is prefilled once those before it are, and once the generations
+    that run have freed memory for it and for those that wait.
+    """
+    prompt_seconds = context.tokens.prompt / context.prompt_rate
+    backlog_seconds = backend.prefill_backlog / context.prompt_rate
+    memory_seconds = _memory_wait_seconds(backend, context)
+    return max(backlog_seconds, memory_seconds) + prompt_seconds
+
+
+def _memory_wait_seconds(backend: Backend, context: PlacementContext) -> float:
+    state = backend.state
+    if state is None or not state.queued:
+        return 0
+    # Memory is allotted for the prompt when a generation begins, and grows
+    # with its answer.
+    missing = _reserved_tokens(backend) + context.tokens.prompt
+    missing -= state.total_tokens
+    rate = max(state.freed_per_second, _FREED_SHARE * state.total_tokens)
+    return max(0, missing) / max(1, rate)
+
+
+def _reserved_tokens(backend: Backend) -> int:
+    """Return the tokens of all calls that run or wait at an engine.
 
     The engine's last report includes the calls of other entries; this entry's
     later calls are added to it.  This entry's own calls count in any case.
     """
-    reserved_tokens = backend.open_tokens
-    total = context.memory_tokens
     state = backend.state
-    if state is not None and state.total_tokens:
-        total = state.total_tokens
-        reserved_tokens = max(
-            reserved_tokens, state.used_tokens + backend.unreported_tokens
-        )
+    if state is None or not state.total_tokens:
+        return backend.open_tokens
+    reported = state.used_tokens + state.queued_tokens
+    return max(backend.open_tokens, reported + backend.unreported_tokens)
+
+
+def _memory_share(backend: Backend, context: PlacementContext) -> float:
+    """Return the share of memory that would be in use with the call."""
+    total = context.memory_tokens
+    if backend.state is not None and backend.state.total_tokens:
+        total = backend.state.total_tokens
+    reserved_tokens = _reserved_tokens(backend)
     return (reserved_tokens + context.tokens.total) / max(1, total)
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -11,7 +11,13 @@
 
 from .backendset import BackendSet
 from .backendstate import Backend
-from .balancing import Balancer, PlacementContext, Reservation, ReservedTokens
+from .balancing import (
+    Balancer,
+    PlacementContext,
+    Reservation,
+    ReservedTokens,
+    expected_first_event,
+)
 from .callprogress import CallProgress
 from .clock import Clock, RandomSource
 from .directcalls import BackendAttempt, DirectCall
@@ -138,6 +144,9 @@
         context = self._make_context(call, now)
         chosen = self._deps.balancer.choose(candidates, context)
         progress.alternatives = len(candidates) - 1
+        expected = None
+        if context.tokens is not None:
+            expected = expected_first_event(chosen, context)
         log_decision(
             'sent',
             request=call.name,
@@ -149,6 +158,7 @@
             seen=len(candidates),
             tokens=context.tokens.total if context.tokens else None,
             open=chosen.open_calls,
+            expected=expected,
             report_age=chosen.report_age(now),
             limit=chosen.call_limit.rate,
             left=call.deadline - now,
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -16,7 +16,7 @@
 from .codec import Message
 from .enginemover import EngineMover
 from .enginereports import EngineReports
-from .enginespeed import TokenTimeEstimator
+from .enginespeed import MemoryReleaseEstimator, TokenTimeEstimator
 from .errors import BackendCutError
 from .link import Link
 from .logs import log_decision, log_event
@@ -79,6 +79,7 @@
         )
         self._reports = EngineReports()
         self._token_time = TokenTimeEstimator()
+        self._memory_release = MemoryReleaseEstimator()
         self._batch_timer: asyncio.TimerHandle | None = None
         self._reading: EngineReading | None = None
         self._engine_reachable = asyncio.Event()
@@ -207,6 +208,7 @@
         self._engine_reachable.clear()
         self._identified.clear()
         self._token_time = TokenTimeEstimator()
+        self._memory_release = MemoryReleaseEstimator()
         self._reports.record_state(_UNREACHABLE_STATE, self._clock.monotonic())
         # Without a report entries would assume that this process is lost.
         self._send_report_if_due()
@@ -239,7 +241,12 @@
         self._reading = reading
         leaving = reading.state.leaving
         self._token_time.observe(reading.runs, started_at)
-        state = replace(reading.state, token_seconds=self._token_time.seconds)
+        self._memory_release.observe(reading.runs, started_at)
+        state = replace(
+            reading.state,
+            token_seconds=self._token_time.seconds,
+            freed_per_second=self._memory_release.tokens_per_second,
+        )
         self._reports.record_state(state, started_at)
         self._send_report_if_due(force=leaving and not was_leaving)
         if leaving and not was_leaving:
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -98,6 +98,8 @@
             generating=state.generating,
             token_micros=int(state.token_seconds * _MICROSECONDS_PER_SECOND),
             copying_to=self._copying_to,
+            queued_tokens=state.queued_tokens,
+            freed_per_second=int(state.freed_per_second),
         )
 
     def is_due(self, report: wire.EngineReport, now: float) -> bool:
@@ -146,6 +148,8 @@
         unread_tokens=report.unread_tokens,
         generating=report.generating,
         token_seconds=report.token_micros / _MICROSECONDS_PER_SECOND,
+        queued_tokens=report.queued_tokens,
+        freed_per_second=report.freed_per_second,
     )
 
 
--- a/primrosewood/enginespeed.py
+++ b/primrosewood/enginespeed.py
@@ -11,6 +11,7 @@
 __all__ = (
     'PROMPT_TOKENS_PER_SECOND',
     'TOKEN_SECONDS',
+    'MemoryReleaseEstimator',
     'PromptRateEstimator',
     'TokenTimeEstimator',
 )
@@ -82,6 +83,41 @@
             self.seconds = self._weighted_seconds / self._weighted_tokens
 
 
+class MemoryReleaseEstimator:
+    """Estimates how fast ending generations free an engine's memory.
+
+    Attributes
+    ----------
+    tokens_per_second
+        Tokens freed each second of the last few, 0 before any was freed.
+    """
+
+    def __init__(self) -> None:
+        """Start without samples."""
+        self.tokens_per_second: float = 0
+        self._previous_tokens: dict[str, int] = {}
+        self._observed_at: float | None = None
+        self._weighted_seconds: float = 0
+        self._weighted_tokens: float = 0
+
+    def observe(self, runs: Sequence[EngineRun], now: float) -> None:
+        """Update the estimate from a sample of the running generations."""
+        tokens = {run.name: run.tokens for run in runs}
+        freed = sum(
+            size
+            for name, size in self._previous_tokens.items()
+            if name not in tokens
+        )
+        elapsed = 0 if self._observed_at is None else now - self._observed_at
+        self._previous_tokens, self._observed_at = tokens, now
+        self._weighted_seconds = self._weighted_seconds * _DECAY + elapsed
+        self._weighted_tokens = self._weighted_tokens * _DECAY + freed
+        if self._weighted_seconds > 0:
+            self.tokens_per_second = (
+                self._weighted_tokens / self._weighted_seconds
+            )
+
+
 class PromptRateEstimator:
     """Estimates how fast the engines of a service prefill prompts.
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -213,6 +213,32 @@
     """
     Engine to which a generation is being copied, as host:port; empty for none.
     """
+    queued_tokens: (
+        Annotated[
+            int,
+            Meta(
+                description='Prompt tokens of the waiting generations, which have no memory yet.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Prompt tokens of the waiting generations, which have no memory yet.
+    """
+    freed_per_second: (
+        Annotated[
+            int,
+            Meta(
+                description='Memory in tokens that ending generations have lately freed each second.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Memory in tokens that ending generations have lately freed each second.
+    """
 
 
 class EngineRoom(Struct, array_like=True):
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -322,6 +322,7 @@
                 leaving=leaving,
                 unread_tokens=_count_unprocessed_prompt_tokens(report, runs),
                 generating=len(runs),
+                queued_tokens=report.queued * report.next_token,
             ),
             runs=runs,
             leaves_in=leaves_in and leaves_in / _MS_PER_SECOND,
