Measure how long the first waiting call of an engine has waited

An entry that has just started kept the default prompt rate for some 20 calls.

Change: the process beside an engine knows when calls were sent there and reports how long the first of them has waited; running generations, which grow, are taken off the memory that becomes free; first calls weigh more in the prompt rate.

--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -79,6 +79,9 @@
         Prompt tokens of the waiting generations, which hold no memory yet.
     freed_per_second
         Memory in tokens that ending generations have lately freed each second.
+    waited
+        Seconds for which the first of the waiting generations has waited for
+        its first event.
     """
 
     running: int = 0
@@ -91,6 +94,7 @@
     token_seconds: float = 0
     queued_tokens: int = 0
     freed_per_second: float = 0
+    waited: float = 0
 
 
 @dataclass(slots=True, eq=False)
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -255,19 +255,24 @@
     prompt_seconds = context.tokens.prompt / context.prompt_rate
     backlog_seconds = backend.prefill_backlog / context.prompt_rate
     memory_seconds = _memory_wait_seconds(backend, context)
-    return max(backlog_seconds, memory_seconds) + prompt_seconds
+    waited = backend.state.waited if backend.state else 0
+    return max(backlog_seconds, memory_seconds, waited) + prompt_seconds
 
 
 def _memory_wait_seconds(backend: Backend, context: PlacementContext) -> float:
     state = backend.state
-    if state is None or not state.queued:
+    if state is None or not state.total_tokens:
         return 0
     # Memory is allotted for the prompt when a generation begins, and grows
     # with its answer.
     missing = _reserved_tokens(backend) + context.tokens.prompt
     missing -= state.total_tokens
-    rate = max(state.freed_per_second, _FREED_SHARE * state.total_tokens)
-    return max(0, missing) / max(1, rate)
+    token_seconds = state.token_seconds or context.token_seconds
+    rate = max(
+        state.freed_per_second - state.generating / token_seconds,
+        _FREED_SHARE * state.total_tokens,
+    )
+    return max(0, missing) / rate
 
 
 def _reserved_tokens(backend: Backend) -> int:
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -23,6 +23,7 @@
 from .metrics import Metrics
 from .movableengine import EngineLocation, EngineReading, MovableEngine
 from .peerlink import PeerServer
+from .waitingcalls import WaitingCalls
 
 __all__ = ('EngineKeeper',)
 
@@ -80,6 +81,7 @@
         self._reports = EngineReports()
         self._token_time = TokenTimeEstimator()
         self._memory_release = MemoryReleaseEstimator()
+        self._waiting = WaitingCalls()
         self._batch_timer: asyncio.TimerHandle | None = None
         self._reading: EngineReading | None = None
         self._engine_reachable = asyncio.Event()
@@ -209,6 +211,7 @@
         self._identified.clear()
         self._token_time = TokenTimeEstimator()
         self._memory_release = MemoryReleaseEstimator()
+        self._waiting = WaitingCalls()
         self._reports.record_state(_UNREACHABLE_STATE, self._clock.monotonic())
         # Without a report entries would assume that this process is lost.
         self._send_report_if_due()
@@ -220,7 +223,9 @@
         if not message.unread_tokens:
             # A moved generation that continues here is already counted.
             return
-        self._reports.announce(message.unread_tokens, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._waiting.add(message.attempt, now)
+        self._reports.announce(message.unread_tokens, now)
         if self._batch_timer is None:
             loop = asyncio.get_running_loop()
             self._batch_timer = loop.call_later(
@@ -242,10 +247,14 @@
         leaving = reading.state.leaving
         self._token_time.observe(reading.runs, started_at)
         self._memory_release.observe(reading.runs, started_at)
+        waiting = reading.state.running + reading.state.queued
+        waiting -= len(reading.runs)
+        self._waiting.update(reading.runs, waiting, started_at)
         state = replace(
             reading.state,
             token_seconds=self._token_time.seconds,
             freed_per_second=self._memory_release.tokens_per_second,
+            waited=self._waiting.longest_wait(started_at),
         )
         self._reports.record_state(state, started_at)
         self._send_report_if_due(force=leaving and not was_leaving)
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -28,6 +28,7 @@
 # A change of used memory is reported from this share of the total.
 _MEMORY_CHANGE_SHARE = 0.06
 _MICROSECONDS_PER_SECOND = 1e6
+_MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +101,7 @@
             copying_to=self._copying_to,
             queued_tokens=state.queued_tokens,
             freed_per_second=int(state.freed_per_second),
+            waited_ms=int(state.waited * _MS_PER_SECOND),
         )
 
     def is_due(self, report: wire.EngineReport, now: float) -> bool:
@@ -150,6 +152,7 @@
         token_seconds=report.token_micros / _MICROSECONDS_PER_SECOND,
         queued_tokens=report.queued_tokens,
         freed_per_second=report.freed_per_second,
+        waited=report.waited_ms / _MS_PER_SECOND,
     )
 
 
--- a/primrosewood/enginespeed.py
+++ b/primrosewood/enginespeed.py
@@ -28,6 +28,7 @@
 _DECAY = 0.975
 # Weight of the newest call in the prompt rate: about the last 20 calls count.
 _PROMPT_RATE_WEIGHT = 0.05
+_FIRST_PROMPT_RATE_WEIGHT = 0.1
 _MIN_PROMPT_TOKENS_PER_SECOND = 500
 _MAX_PROMPT_TOKENS_PER_SECOND = 200_000
 
@@ -130,6 +131,7 @@
     def __init__(self) -> None:
         """Start with the default rate."""
         self.tokens_per_second: float = PROMPT_TOKENS_PER_SECOND
+        self._observations = 0
 
     def observe(self, tokens: int, seconds: float) -> None:
         """Update the estimate from the time to a call's first event.
@@ -147,6 +149,9 @@
             _MAX_PROMPT_TOKENS_PER_SECOND,
             max(_MIN_PROMPT_TOKENS_PER_SECOND, tokens / seconds),
         )
-        self.tokens_per_second += _PROMPT_RATE_WEIGHT * (
-            measured - self.tokens_per_second
-        )
+        # The first calls count more, so that an entry that has just started
+        # does not keep the default for long.
+        self._observations += 1
+        newest = min(_FIRST_PROMPT_RATE_WEIGHT, 1 / self._observations)
+        weight = max(_PROMPT_RATE_WEIGHT, newest)
+        self.tokens_per_second += weight * (measured - self.tokens_per_second)
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -239,6 +239,19 @@
     """
     Memory in tokens that ending generations have lately freed each second.
     """
+    waited_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='How long the first of the waiting generations has waited for its first event, in milliseconds.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    How long the first of the waiting generations has waited for its first event, in milliseconds.
+    """
 
 
 class EngineRoom(Struct, array_like=True):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -15,18 +15,7 @@
 )
 from primrosewood.warmup import ConcurrencyTargets
 
-
-class ManualClock:
-    """Clock that a test advances."""
-
-    def __init__(self):
-        self.now = 1000.0
-
-    def monotonic(self):
-        return self.now
-
-    def wall(self):
-        return self.now
+from .virtualtime import ManualClock
 
 
 def make_request(
--- a/tests/virtualtime.py
+++ b/tests/virtualtime.py
@@ -1,4 +1,4 @@
-"""An event loop whose clock jumps to the next timer instead of waiting."""
+"""Clocks of tests, and an event loop that jumps to its next timer."""
 
 import asyncio
 import selectors
@@ -39,6 +39,19 @@
         return self.monotonic()
 
 
+class ManualClock:
+    """Clock that a test advances."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+    def wall(self):
+        return self.now
+
+
 def run_virtual(main):
     """Run a coroutine on a new loop with virtual time."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
