Roll out new versions of engines as far as they prove themselves

Cause: orders under op/rollout were not read, nor the versions of records: engines of a version that no order named, or of a bad one, got calls like all others.

A fault stops the new version at once and is written as rolled_back under a condition, so that the first decision holds. Without a fault the share grows, the processes beside the old engines move their generations away, and completed is written when nothing runs there. Without an order all versions get calls.

--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -44,6 +44,8 @@
         the calls of the earlier one under the same name.
     revision
         Store revision of the record; a live back end keeps rewriting it.
+    version
+        Version of its software; empty if it is not known.
     """
 
     name: str
@@ -55,6 +57,7 @@
     cold_seconds: float = 0
     boot: int = 0
     revision: int = field(default=0, compare=False)
+    version: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from .backendset import BackendSet
 from .backendstate import Backend
@@ -32,6 +33,7 @@
 from .logs import log_decision
 from .metrics import Metrics
 from .outputlengths import LengthPredictor
+from .rolloutcontrol import RolloutControl
 from .routes import EngineTraits, TableHolder
 from .sharedlimits import EntryCount, RepeatBudget, RepeatRule
 
@@ -91,6 +93,9 @@
         Announces a call to the endpoint process beside its engine: the back
         end, the call's name, its prompt tokens to prefill and its expected
         total tokens.
+    rollouts
+        Restricts calls to back ends of a version that is rolled out, None for
+        no restrictions.
     count_call
         Counts a call against the rate limit that its back end has set.
     """
@@ -104,6 +109,7 @@
     clock: Clock
     metrics: Metrics
     lengths: LengthPredictor = field(default_factory=LengthPredictor)
+    rollouts: RolloutControl | None = None
     announce: Callable[[Backend, str, int, int], None] = _announce_nothing
     count_call: Callable[[Backend], None] = _count_nothing
 
@@ -142,6 +148,9 @@
         if not candidates:
             raise self._make_refusal(progress, now)
         context = self._make_context(call, now)
+        candidates = self._select_version(call, candidates)
+        if not candidates:
+            raise self.make_failure(progress, ErrorKind.no_endpoint)
         chosen = self._deps.balancer.choose(candidates, context)
         progress.alternatives = len(candidates) - 1
         expected = None
@@ -255,7 +264,7 @@
             self._record_refusal(backend_attempt.backend, error)
             raise
         except BackendCutError:
-            backend_attempt.backend.record_failure(self._now())
+            self._record_cut(call, backend_attempt.backend)
             raise
         except asyncio.CancelledError:
             self._record_unanswered(call, reservation, now)
@@ -276,6 +285,17 @@
         length = progress.order.last * traits.event_tokens
         self._deps.lengths.observe(_length_group(progress.call), length)
 
+    def record_outcome(
+        self, progress: CallProgress, backend: Backend, status: int
+    ) -> None:
+        """Count an answer as evidence for the version of its back end."""
+        if self._deps.rollouts is None:
+            return
+        failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        pace = 0 if failed else self._measure_pace(progress)
+        route = progress.call.route.name
+        self._deps.rollouts.record(route, backend, failed, pace)
+
     def find_address(self, progress: CallProgress, address: str) -> Backend:
         """Return the back end at an address.
 
@@ -309,6 +329,24 @@
         """Return the traits of a service's engines, None for plain services."""
         return self._deps.tables.engine_traits(service)
 
+    def _record_cut(self, call: DirectCall, backend: Backend) -> None:
+        backend.record_failure(self._now())
+        # A back end that leaves or is gone cuts its calls whatever its version.
+        if self._deps.rollouts is not None and not backend.stopping:
+            self._deps.rollouts.record(call.route.name, backend, True, 0)
+
+    def _measure_pace(self, progress: CallProgress) -> float:
+        """Return the seconds for an answer, or for an event of a stream.
+
+        Answers that needed several sends say nothing about one back end.
+        """
+        if progress.sends > 1:
+            return 0
+        seconds = self._now() - progress.call.arrived
+        if progress.first_event is None or not progress.order.last:
+            return seconds
+        return (seconds - progress.first_event) / progress.order.last
+
     def _count_bytes(self, call: DirectCall, reservation: Reservation) -> None:
         domain = reservation.backend.record.failure_domain
         place = 'same' if domain == self._rules.failure_domain else 'other'
@@ -360,6 +398,14 @@
             and self._has_cold_capacity(backend, now)
         ]
 
+    def _select_version(
+        self, call: DirectCall, candidates: Sequence[Backend]
+    ) -> Sequence[Backend]:
+        rollouts = self._deps.rollouts
+        if rollouts is None:
+            return candidates
+        return rollouts.select(call.service, candidates)
+
     def _make_refusal(
         self, progress: CallProgress, now: float
     ) -> RequestFailedError:
--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -58,6 +58,8 @@
         wire.PairsTold: 26,
         wire.CallPlaced: 27,
         wire.LimitTold: 28,
+        wire.RolloutTold: 29,
+        wire.EngineRetired: 30,
     }
 )
 _MESSAGE_TYPES = MappingProxyType(
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -41,6 +41,8 @@
 # The same for queries that are answered with all changes since a revision, for
 # a new entry with the whole configuration.
 _MAX_ASKED_FOR_CHANGES = 2
+# Entries repeat every second that an engine is to be stopped.
+_RETIRED_SECONDS = 3.0
 # Reported while the engine does not answer, so that it gets no new calls.
 _UNREACHABLE_STATE = EngineState(leaving=True)
 
@@ -86,6 +88,8 @@
         self._reading: EngineReading | None = None
         self._engine_reachable = asyncio.Event()
         self._identified = asyncio.Event()
+        self._retired_until = float('-inf')
+        self._stops_at = float('inf')
         self.server: PeerServer | None = None
         self.found: wire.EngineFound | None = None
 
@@ -136,8 +140,10 @@
                 self._forward_query(message, link)
             case wire.PairsTold():
                 self._forward_pairs(message, link)
-            case wire.LimitTold():
+            case wire.LimitTold() | wire.RolloutTold():
                 self._broadcast(message, link)
+            case wire.EngineRetired():
+                self._retire(message.seconds)
 
     async def run_identification(self) -> None:
         """Keep the engine identified, for announcements, until cancelled.
@@ -163,6 +169,33 @@
             return
         self._identified.clear()
 
+    def _retire(self, seconds: float) -> None:
+        """Move all generations away, as a roll-out will stop the engine.
+
+        Entries repeat the message, so that its effect ends with the last entry
+        that carries out the roll-out.
+        """
+        now = self._clock.monotonic()
+        if not self._is_retired(now) and seconds > 0:
+            log_decision('engine_retired', stops_in=seconds)
+        self._retired_until = now + _RETIRED_SECONDS if seconds > 0 else now
+        self._stops_at = now + seconds
+
+    def _is_retired(self, now: float) -> bool:
+        return now < self._retired_until
+
+    def _with_retirement(
+        self, reading: EngineReading, now: float
+    ) -> EngineReading:
+        """Return a reading in which a retired engine is leaving."""
+        if not self._is_retired(now) or reading.state.leaving:
+            return reading
+        return replace(
+            reading,
+            state=replace(reading.state, leaving=True),
+            leaves_in=max(0, self._stops_at - now),
+        )
+
     def _forward_pairs(self, message: wire.PairsTold, link: Link) -> None:
         if message.asker:
             self.server.send_to(message.asker, message)
@@ -242,6 +275,7 @@
         if self._reading is None:
             log_event('engine_found', address=self._engine.address)
             self._engine_reachable.set()
+        reading = self._with_retirement(reading, started_at)
         was_leaving = self._reading and self._reading.state.leaving
         self._reading = reading
         leaving = reading.state.leaving
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -55,6 +55,12 @@
         Port on which endpoint processes listen on their VMs.
     handle_other
         Called with each message that is not about engines, and its link.
+
+    Attributes
+    ----------
+    may_receive
+        Returns whether generations may be moved to an engine; any engine at
+        first.
     """
 
     def __init__(
@@ -69,6 +75,7 @@
         handle_other: Callable[[Message, Link], None],
     ) -> None:
         """Create a view without links."""
+        self.may_receive: Callable[[Backend], bool] = bool
         self._handle_other = handle_other
         self._backends = backends
         self._tables = tables
@@ -131,6 +138,7 @@
             )
             for backend in self._backends.usable(service)
             if _has_slot(backend)
+            and self.may_receive(backend)
             and not backend.call_limit.seconds_until_call(now)
         ]
 
@@ -188,6 +196,18 @@
         if link is not None:
             link.send(wire.CallPlaced(name, unread_tokens, whole_tokens))
 
+    def retire(self, address: str, seconds: float) -> None:
+        """Tell the endpoint process of an engine to move its generations away.
+
+        Parameters
+        ----------
+        seconds
+            Time until the engine is stopped; negative if it is not to stop.
+        """
+        link = self._links.get(address)
+        if link is not None:
+            link.send(wire.EngineRetired(seconds))
+
     def handle_announcement(self, message: Message, _link: Link) -> None:
         """Handle the announcement of an engine by its endpoint process.
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -254,6 +254,22 @@
     """
 
 
+class EngineRetired(Struct, array_like=True):
+    """
+    Tells the process beside an engine to move its generations away, as a roll-out will stop the engine.
+    """
+
+    seconds: Annotated[
+        float,
+        Meta(
+            description='Seconds until the engine is stopped; negative if it is not to be stopped after all.'
+        ),
+    ]
+    """
+    Seconds until the engine is stopped; negative if it is not to be stopped after all.
+    """
+
+
 class EngineRoom(Struct, array_like=True):
     """
     An engine and its free memory.
@@ -557,6 +573,94 @@
     offset: Annotated[int, Meta(ge=0)]
 
 
+class RolloutTally(Struct, array_like=True):
+    """
+    Outcomes of one entry's calls on one route during a roll-out.
+    """
+
+    route: Annotated[str, Meta(description='Name of the route.')]
+    """
+    Name of the route.
+    """
+    engine: Annotated[
+        str,
+        Meta(
+            description='Name of the engine; empty for the sum over all engines of the version in force.'
+        ),
+    ]
+    """
+    Name of the engine; empty for the sum over all engines of the version in force.
+    """
+    is_new: Annotated[bool, Meta(description='Whether the engine has the new version.')]
+    """
+    Whether the engine has the new version.
+    """
+    calls: Annotated[int, Meta(description='Calls that were answered or failed.', ge=0)]
+    """
+    Calls that were answered or failed.
+    """
+    failures: Annotated[
+        int,
+        Meta(
+            description='Calls that failed, or were answered with an error of the engine.',
+            ge=0,
+        ),
+    ]
+    """
+    Calls that failed, or were answered with an error of the engine.
+    """
+    paces: Annotated[int, Meta(description='Answers with a known pace.', ge=0)]
+    """
+    Answers with a known pace.
+    """
+    pace_sum: Annotated[
+        float, Meta(description='Sum of the logarithms of their paces.')
+    ]
+    """
+    Sum of the logarithms of their paces.
+    """
+    pace_squares: Annotated[
+        float, Meta(description='Sum of the squares of these logarithms.')
+    ]
+    """
+    Sum of the squares of these logarithms.
+    """
+
+
+class RolloutTold(Struct, array_like=True):
+    """
+    Outcomes that an entry has seen during a roll-out, for the other entries.
+    """
+
+    sender: Annotated[str, Meta(description='Name of the entry.')]
+    """
+    Name of the entry.
+    """
+    service: Annotated[str, Meta(description='Name of the service.')]
+    """
+    Name of the service.
+    """
+    order: Annotated[int, Meta(description="Revision of the operators' order.", ge=0)]
+    """
+    Revision of the operators' order.
+    """
+    fault: Annotated[
+        str,
+        Meta(
+            description='Why the sender believes that the new version is bad; empty if it does not.'
+        ),
+    ]
+    """
+    Why the sender believes that the new version is bad; empty if it does not.
+    """
+    tallies: Annotated[
+        list[RolloutTally], Meta(description='The tallies that changed.')
+    ]
+    """
+    The tallies that changed.
+    """
+
+
 class RoomAsk(Struct, array_like=True):
     """
     Asks an entry which engines have free memory for moved generations.
--- a/primrosewood/platform/discovery.py
+++ b/primrosewood/platform/discovery.py
@@ -11,6 +11,7 @@
 from ..errors import WireError
 from ..kv import KeyValue, Pair
 from ..logs import log_decision, log_event
+from ..rolloutcontrol import RolloutControl
 from ..routes import TableHolder
 from ..storeview import StoreView
 from . import documents
@@ -35,6 +36,12 @@
         Dates registrations and removals.
     on_change
         Called after routes or back ends have changed.
+
+    Attributes
+    ----------
+    rollouts
+        Receives operators' roll-outs; has to be set before the first key is
+        applied.
     """
 
     def __init__(
@@ -50,6 +57,13 @@
         self._clock = clock
         self._on_change = on_change
         self._store_available: bool | None = None
+        self.rollouts: RolloutControl | None = None
+        self._handlers = {
+            documents.EVACUATED_PREFIX: self._apply_evacuation,
+            documents.BACKENDS_PREFIX: self._apply_backend,
+            documents.ROLLOUTS_PREFIX: self._apply_order,
+            documents.ROLLOUT_STATUS_PREFIX: self._apply_status,
+        }
 
     def make_view(self, store: KeyValue) -> StoreView:
         """Return a view of the service whose changes are applied here."""
@@ -64,11 +78,10 @@
         """
         if key == documents.TABLE_KEY:
             self._apply_table(pair)
-        elif key.startswith(documents.EVACUATED_PREFIX):
-            self._apply_evacuation(key, pair)
-        elif key.startswith(documents.BACKENDS_PREFIX):
-            name = key.removeprefix(documents.BACKENDS_PREFIX)
-            self._apply_backend(name, pair)
+            return
+        for prefix, apply in self._handlers.items():
+            if key.startswith(prefix):
+                apply(key.removeprefix(prefix), pair)
 
     def record_store_result(self, available: bool) -> None:
         """Record whether the key-value service answered the last call."""
@@ -105,8 +118,7 @@
             )
             self._on_change()
 
-    def _apply_evacuation(self, key: str, pair: Pair | None) -> None:
-        domain = key.removeprefix(documents.EVACUATED_PREFIX)
+    def _apply_evacuation(self, domain: str, pair: Pair | None) -> None:
         if pair is None:
             if self._backends.restore_domain(domain, self._clock.monotonic()):
                 log_decision('failure_domain_back', failure_domain=domain)
@@ -117,6 +129,32 @@
                 revision=pair.revision,
             )
 
+    def _apply_order(self, service: str, pair: Pair | None) -> None:
+        if pair is None:
+            self.rollouts.apply_order(service, None)
+            return
+        try:
+            order = documents.parse_order(service, pair.stored, pair.revision)
+        except WireError as error:
+            log_event('rollout_refused', 'WARNING', service=service, why=error)
+            return
+        if self._tables.traits(service) is None:
+            log_event(
+                'rollout_refused', 'WARNING', service=service, why='unknown'
+            )
+            return
+        self.rollouts.apply_order(service, order)
+
+    def _apply_status(self, service: str, pair: Pair | None) -> None:
+        if pair is None:
+            return
+        try:
+            status = documents.parse_status(pair.stored, pair.revision)
+        except WireError as error:
+            log_event('status_refused', 'WARNING', service=service, why=error)
+            return
+        self.rollouts.apply_status(service, status)
+
     def _apply_backend(self, name: str, pair: Pair | None) -> None:
         now = self._clock.monotonic()
         if pair is None:
@@ -146,6 +184,7 @@
                 address=record.address,
                 failure_domain=record.failure_domain,
                 boot=record.boot,
+                software=record.version or None,
                 draining=record.draining,
                 cold=record.cold_seconds or None,
             )
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -11,6 +11,7 @@
 
 from ..backendstate import BackendRecord
 from ..errors import WireError
+from ..rollouts import RolloutOrder, RolloutState, RolloutStatus
 from ..routes import (
     CallerLimits,
     EngineTraits,
@@ -24,15 +25,22 @@
 __all__ = (
     'BACKENDS_PREFIX',
     'EVACUATED_PREFIX',
+    'ROLLOUTS_PREFIX',
+    'ROLLOUT_STATUS_PREFIX',
     'TABLE_KEY',
     'parse_backend',
+    'parse_order',
+    'parse_status',
     'parse_table',
     'select_content',
+    'serialise_status',
 )
 
 TABLE_KEY = 'op/config'
 EVACUATED_PREFIX = 'op/evacuate/'
 BACKENDS_PREFIX = 'servers/'
+ROLLOUTS_PREFIX = 'op/rollout/'
+ROLLOUT_STATUS_PREFIX = 'status/rollout/'
 
 _MS_PER_SECOND = 1000
 # Counter that a back end raises whenever it writes its record again.
@@ -113,6 +121,8 @@
     zone: NonEmptyText
     slots: Annotated[int, msgspec.Meta(ge=1)]
     state: Literal['ready', 'draining']
+    # Version of its software.
+    version: str = ''
     # Remaining warm-up time when the record was written.
     cold_remaining_ms: NonNegativeFloat = 0
     # Start time in Unix milliseconds; distinguishes two processes that
@@ -120,6 +130,20 @@
     born: int = 0
 
 
+class _RolloutOrder(msgspec.Struct):
+    service: NonEmptyText
+    # Version to which the service is moved.
+    to: NonEmptyText
+    duration_s: Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _RolloutStatus(msgspec.Struct):
+    to: str
+    state: RolloutState
+
+
+_ORDER_DECODER = msgspec.json.Decoder(_RolloutOrder)
+_STATUS_DECODER = msgspec.json.Decoder(_RolloutStatus)
 _TABLE_DECODER = msgspec.json.Decoder(_Table)
 _BACKEND_DECODER = msgspec.json.Decoder(_Backend)
 
@@ -192,9 +216,56 @@
         cold_seconds=record.cold_remaining_ms / _MS_PER_SECOND,
         boot=record.born,
         revision=revision,
+        version=record.version,
     )
 
 
+def parse_order(service: str, stored: bytes, revision: int) -> RolloutOrder:
+    """Decode an operators' order to roll out a version.
+
+    Parameters
+    ----------
+    service
+        Name of the service, the key without ``ROLLOUTS_PREFIX``.
+    stored
+        The value of the key.
+    revision
+        Revision of the key-value service at which the order was written.
+
+    Raises
+    ------
+    WireError
+        The value is not an order for this service.
+    """
+    try:
+        order = _ORDER_DECODER.decode(stored)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise WireError(str(error)) from error
+    if order.service != service:
+        raise WireError('the order names another service')
+    return RolloutOrder(service, order.to, order.duration_s, revision)
+
+
+def parse_status(stored: bytes, revision: int) -> RolloutStatus:
+    """Decode the status of a roll-out.
+
+    Raises
+    ------
+    WireError
+        The value is not a status.
+    """
+    try:
+        status = _STATUS_DECODER.decode(stored)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise WireError(str(error)) from error
+    return RolloutStatus(status.to, status.state, revision)
+
+
+def serialise_status(order: RolloutOrder, state: RolloutState) -> bytes:
+    """Return the status that operators read for a roll-out."""
+    return msgspec.json.encode(_RolloutStatus(order.version, state))
+
+
 def select_content(key: str, stored: bytes) -> bytes:
     """Return a value without the counter that only shows its writer alive."""
     if key.startswith(BACKENDS_PREFIX):
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -31,6 +31,7 @@
 from ..process import spawn
 from ..readschedule import ReadSchedule
 from ..relay import Relay, RelayDependencies
+from ..rolloutcontrol import RolloutControl, RolloutDependencies
 from ..routes import CallerLimits, TableHolder
 from ..sharedlimits import EntryCount, RepeatRule
 from ..sharedreader import SharedReader
@@ -97,6 +98,9 @@
         self._discovery = Discovery(
             self._tables, self._backends, self._clock, self._engines.update
         )
+        self._rollouts = self._make_rollouts()
+        self._discovery.rollouts = self._rollouts
+        self._engines.may_receive = self._rollouts.may_receive
         self._store_reader = SharedReader(
             name=settings.name,
             view=self._discovery.make_view(self._store),
@@ -161,6 +165,20 @@
             settings.limits.stop_seconds - _CLOSE_RESERVE_SECONDS
         )
 
+    def _make_rollouts(self) -> RolloutControl:
+        return RolloutControl(
+            RolloutDependencies(
+                name=self._settings.name,
+                backends=self._backends,
+                writer=self._store,
+                clock=self._clock,
+                random=make_random(),
+                metrics=self._metrics,
+                send=self._engines.send_to_one,
+                retire=self._engines.retire,
+            )
+        )
+
     def _make_frontend(self) -> HttpFrontend:
         random = make_random()
         self._placement = CallPlacement(
@@ -173,6 +191,7 @@
                 random=random,
                 clock=self._clock,
                 metrics=self._metrics,
+                rollouts=self._rollouts,
                 announce=self._engines.announce_call,
                 count_call=self._limits.record_call,
             )
@@ -196,6 +215,8 @@
     def _handle_message(self, message: Message, link: Link) -> None:
         if isinstance(message, wire.LimitTold):
             self._limits.merge_from_peer(message)
+        elif isinstance(message, wire.RolloutTold):
+            self._rollouts.handle(message)
         else:
             self._store_reader.handle(message, link)
 
@@ -225,6 +246,7 @@
             await asyncio.sleep(_TICK_INTERVAL_SECONDS)
             self._discovery.remove_unregistered()
             self._engines.tick()
+            self._rollouts.tick()
 
     async def _drain(self, caller_server: web.ServerRunner) -> None:
         """Serve until the load balancer has detected the stop and all is sent.
--- a/primrosewood/platform/store.py
+++ b/primrosewood/platform/store.py
@@ -17,6 +17,8 @@
 )
 from ..httpclient import prevent_resend
 from ..kv import Change, ChangeList, KeyValue, Listing, Pair, SwapResult
+from ..rollouts import RolloutOrder, RolloutState
+from .documents import ROLLOUT_STATUS_PREFIX, serialise_status
 
 __all__ = ('PlatformStore',)
 
@@ -162,6 +164,14 @@
         answer = await self._write(key, stored, lease, [])
         return _decode(*answer, _WriteResult).revision
 
+    async def write_rollout(
+        self, order: RolloutOrder, state: RolloutState, expected: int
+    ) -> bool:
+        """Write the status of a roll-out if the last one is as expected."""
+        key = f'{ROLLOUT_STATUS_PREFIX}{order.service}'
+        outcome = await self.swap(key, serialise_status(order, state), expected)
+        return outcome.swapped
+
     async def grant(self, seconds: int) -> int:
         """Return a new lease."""
         body = {'ttl_ms': seconds * _MS_PER_SECOND}
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -330,6 +330,7 @@
     ) -> None:
         call = progress.call
         seconds = self._deps.clock.monotonic() - call.arrived
+        self._placement.record_outcome(progress, backend, status)
         self._deps.metrics.count('calls', str(status))
         self._deps.metrics.record('call', seconds)
         log_decision(
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -359,6 +359,19 @@
         ]
         self.assertEqual(['b:1', '', 'b:1', ''], changes)
 
+    async def test_engine_that_a_roll_out_stops(self):
+        """Guards against streams cut as their engine is stopped undrained.
+
+        Entries repeat that it will be stopped, and may take it back.
+        """
+        self.server.answers = [CAPACITY_REPLY]
+        await self.wait_for(lambda: self.keeper.last_report)
+        self.keeper.handle(wire.EngineRetired(4.0), None)
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+        self.assertTrue(self.keeper.last_report.leaving)
+        self.keeper.handle(wire.EngineRetired(-1.0), None)
+        await self.wait_for(lambda: not self.keeper.last_report.leaving)
+
     async def test_messages_between_entries_are_forwarded(self):
         """Entries have no links to each other; messages are forwarded."""
         query = wire.PairsAsk('entry-2', 7)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -7,7 +7,15 @@
 from hypothesis import strategies as st
 
 from primrosewood.errors import WireError
-from primrosewood.platform.documents import parse_backend, parse_table
+from primrosewood.platform.documents import (
+    parse_backend,
+    parse_order,
+    parse_status,
+    parse_table,
+    select_content,
+    serialise_status,
+)
+from primrosewood.rollouts import RolloutState
 from primrosewood.routes import RouteKind
 
 TABLE = {
@@ -138,3 +146,46 @@
     def test_deep_nesting(self):
         with self.assertRaises(WireError):
             parse_backend('i', b'[' * 100_000)
+
+
+class RolloutTest(unittest.TestCase):
+    """Orders of roll-outs and their status."""
+
+    def test_order(self):
+        stored = b'{"service": "s1", "to": "v2", "duration_s": 12}'
+        order = parse_order('s1', stored, 7)
+        self.assertEqual(('v2', 12, 7), (order.version, order.seconds, 7))
+
+    def test_malformed_orders(self):
+        for stored in (
+            b'',
+            b'[]',
+            b'{"service": "s1", "to": "v2"}',
+            b'{"service": "s1", "to": "", "duration_s": 12}',
+            b'{"service": "s1", "to": "v2", "duration_s": 0}',
+            b'{"service": "s2", "to": "v2", "duration_s": 12}',
+        ):
+            with self.subTest(stored=stored), self.assertRaises(WireError):
+                parse_order('s1', stored, 7)
+
+    def test_status_that_was_written(self):
+        order = parse_order(
+            's1', b'{"service": "s1", "to": "v2", "duration_s": 12}', 7
+        )
+        stored = serialise_status(order, RolloutState.rolled_back)
+        self.assertEqual(
+            {'to': 'v2', 'state': 'rolled_back'}, json.loads(stored)
+        )
+        status = parse_status(stored, 9)
+        self.assertTrue(status.answers(order))
+        self.assertEqual(RolloutState.rolled_back, status.state)
+
+    def test_counters_are_no_content(self):
+        """Guards against an update of all entries for each sign of life."""
+        before = b'{"service":"s1","sequence":4,"slots":8}'
+        after = b'{"service":"s1","sequence": 51,"slots":8}'
+        for key, is_same in (('servers/a', True), ('op/config', False)):
+            self.assertEqual(
+                is_same,
+                select_content(key, before) == select_content(key, after),
+            )
