Update an entry's links once for all records that arrive together

Cause: as 301 VMs start before 3,000 other back ends, each entry applies a listing of 3,000 records, and each of them passed over all back ends to find the engines: 1.02 s of processor time in each of 150 entries at each start (measured alone, tests/test_many_backends.py has the load). Every tenth of a second another two passes looked for stale reports and for announcements.

Change: links are updated once per turn of the event loop, from the back ends of engine services only; ticks look at engines and at announced back ends.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -58,6 +58,8 @@
     # Names whose records vanished around an outage; see `remove`.
     _missing: set[str] = field(default_factory=set)
     _removed_names: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    # Announced back ends that have not registered yet.
+    _announced: set[str] = field(default_factory=set)
     _restored_at: dict[str, float] = field(default_factory=dict)
     _store_availability: _StoreAvailability = field(
         default_factory=_StoreAvailability
@@ -79,6 +81,7 @@
             self._index.add(known)
         self._index.update(known, record)
         known.announced_at = None
+        self._announced.discard(record.name)
         if record.cold_seconds:
             known.cold_until = now + record.cold_seconds
         return known
@@ -96,6 +99,7 @@
         found = Backend(record, ColdLimit(self.entries), announced_at=now)
         found.cold_until = now + record.cold_seconds
         self._index.add(found)
+        self._announced.add(record.name)
         return True
 
     def remove(self, name: str, now: float) -> bool:
@@ -165,6 +169,10 @@
         """Return the latest back end at an address, None if unknown."""
         return self._index.find_address(address)
 
+    def list_service(self, service: str) -> list[Backend]:
+        """Return all back ends of a service, stopping ones included."""
+        return self._index.list_service(service)
+
     def usable(self, service: str) -> list[Backend]:
         """Return the back ends of a service that may get new calls."""
         return [
@@ -197,10 +205,9 @@
     def _unregistered(self, cutoff: float) -> list[str]:
         """Return names announced by the cutoff and not registered since."""
         return [
-            backend.name
-            for backend in self._index.backends
-            if backend.announced_at is not None
-            and backend.announced_at <= cutoff
+            name
+            for name in sorted(self._announced)
+            if self._index.find(name).announced_at <= cutoff
         ]
 
     def _store_failed_lately(self, now: float) -> bool:
@@ -215,6 +222,7 @@
 
     def _drop(self, name: str) -> None:
         self._missing.discard(name)
+        self._announced.discard(name)
         backend = self._index.remove(name)
         # It may still announce itself until it has left.
         self._removed_names[name] = None
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -1,5 +1,6 @@
 """An entry's links to the endpoint processes of all engines."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -29,6 +30,8 @@
 # Endpoint processes that forward the announcement of an engine. Several do, as
 # one may be partitioned from some entries or leave at that moment.
 _ANNOUNCEMENT_COPIES = 3
+# Interval at which misdirected records are looked at again.
+_RECHECK_SECONDS = 1.0
 # A report of a copy counts for this long; copies take up to 0.5 s.
 _COPY_REPORT_SECONDS = 1.0
 # Endpoint processes report at least every second.
@@ -88,14 +91,19 @@
         self._reported_entries: dict[str, int] = {}
         self._copies: dict[str, _ReportedCopy] = {}
         self._unlisted_since: dict[str, float] = {}
+        self._update_scheduled = False
+        self._rechecked_at = float('-inf')
+
+    def schedule_update(self) -> None:
+        """Update the links once for all changes that arrive together."""
+        if not self._update_scheduled:
+            self._update_scheduled = True
+            asyncio.get_running_loop().call_soon(self.update)
 
     def update(self) -> None:
         """Open links to new engines and mark engines that are not listed."""
-        wanted = {
-            backend.record.address
-            for backend in self._backends.backends
-            if self._is_engine(backend)
-        }
+        self._update_scheduled = False
+        wanted = {backend.record.address for backend in self._list_engines()}
         for missing in wanted - self._links.keys():
             self._links[missing] = self._open_link(missing)
         now = self._clock.monotonic()
@@ -107,10 +115,13 @@
     def tick(self) -> None:
         """Drop outdated reports, silent links and links of removed engines."""
         now = self._clock.monotonic()
-        for backend in self._backends.backends:
-            backend.retry_misdirected(now)
-            if backend.drop_stale_state(now):
-                log_event('reports_stopped', 'WARNING', endpoint=backend.name)
+        for engine in self._list_engines():
+            if engine.drop_stale_state(now):
+                log_event('reports_stopped', 'WARNING', endpoint=engine.name)
+        if now >= self._rechecked_at + _RECHECK_SECONDS:
+            self._rechecked_at = now
+            for backend in self._backends.backends:
+                backend.retry_misdirected(now)
         for address, since in list(self._unlisted_since.items()):
             if now > since + _UNLISTED_LINK_SECONDS:
                 self._unlisted_since.pop(address)
@@ -254,8 +265,12 @@
             partial(self._handle_message, address),
         )
 
-    def _is_engine(self, backend: Backend) -> bool:
-        return self._tables.engine_traits(backend.record.service) is not None
+    def _list_engines(self) -> list[Backend]:
+        return [
+            backend
+            for service in self._tables.list_engine_services()
+            for backend in self._backends.list_service(service)
+        ]
 
     def _handle_message(
         self, address: str, message: Message, link: Link
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -96,7 +96,10 @@
         )
         self._transport = HttpTransport(self._clock, self._limits.record_answer)
         self._discovery = Discovery(
-            self._tables, self._backends, self._clock, self._engines.update
+            self._tables,
+            self._backends,
+            self._clock,
+            self._engines.schedule_update,
         )
         self._rollouts = self._make_rollouts()
         self._discovery.rollouts = self._rollouts
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -200,6 +200,11 @@
         traits = self.traits(service)
         return traits.engine if traits else None
 
+    def list_engine_services(self) -> list[str]:
+        """Return the names of the services whose back ends are engines."""
+        services = self._table.services if self._table else {}
+        return [name for name, traits in services.items() if traits.engine]
+
     def replace_if_newer(self, table: RouteTable) -> bool:
         """Replace the table by a newer one; return whether it is newer."""
         if table.version <= self.version:
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -52,6 +52,7 @@
         self.connector = _FakeConnector()
         tables = mock.Mock()
         tables.engine_traits.return_value = mock.Mock(slots=24)
+        tables.list_engine_services.return_value = ['s']
         self.view = EngineView(
             backends=self.backends,
             tables=tables,
--- a/tests/test_many_backends.py
+++ b/tests/test_many_backends.py
@@ -4,14 +4,22 @@
 record again every 1.2 s, with a higher counter and nothing else changed.
 """
 
+import asyncio
 import json
 import unittest
+from unittest import mock
 
 from primrosewood.backendset import BackendSet
 from primrosewood.clock import SystemClock
+from primrosewood.engineview import EngineView
 from primrosewood.kv import Pair
 from primrosewood.platform.discovery import Discovery
-from primrosewood.routes import TableHolder
+from primrosewood.routes import (
+    EngineTraits,
+    RouteTable,
+    ServiceTraits,
+    TableHolder,
+)
 from primrosewood.sharedlimits import EntryCount
 
 
@@ -68,6 +76,41 @@
         found = self.backends.find_address('10.0.4.5:80')
         self.assertEqual('b1005', found.name)
 
+    def test_links_are_updated_once_for_a_listing(self):
+        """Guards against a second of processor time for each start of an entry.
+
+        Each of 3,000 new records updated the links, with a pass over all.
+        """
+        table = RouteTable(
+            1, (), {'s3': ServiceTraits('s3', engine=EngineTraits(8, 9, 1))}
+        )
+        tables = TableHolder()
+        tables.replace_if_newer(table)
+        connector = mock.Mock()
+        view = EngineView(
+            self.backends,
+            tables,
+            mock.Mock(),
+            EntryCount(1),
+            connector,
+            SystemClock(),
+            1,
+            mock.Mock(),
+        )
+        self.discovery = Discovery(
+            tables, self.backends, SystemClock(), view.schedule_update
+        )
+
+        async def apply_listing():
+            for number in range(3000):
+                self.apply(make_pair(number, number + 1))
+            connector.open.assert_not_called()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+        asyncio.run(apply_listing())
+        self.assertEqual(100, connector.open.call_count)
+
     def test_record_that_moves_to_another_address(self):
         self.apply(make_pair(1, 1))
         self.apply(make_pair(1, 2, address='10.9.9.9:80'))
