Refuse at once what no engine can begin before its deadline

Cause: a generation was sent to the best engine also if that engine's queue was longer than the call's time, and ended with the deadline.

Change: only what cannot begin before its deadline is refused, with the time after which it could.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -153,9 +153,7 @@
             raise self.make_failure(progress, ErrorKind.no_endpoint)
         chosen = self._deps.balancer.choose(candidates, context)
         progress.alternatives = len(candidates) - 1
-        expected = None
-        if context.tokens is not None:
-            expected = expected_first_event(chosen, context)
+        expected = self._check_first_event(progress, chosen, context)
         log_decision(
             'sent',
             request=call.name,
@@ -398,6 +396,36 @@
             and self._has_cold_capacity(backend, now)
         ]
 
+    def _check_first_event(
+        self, progress: CallProgress, chosen: Backend, context: PlacementContext
+    ) -> float | None:
+        """Return the expected seconds to the first event, None for no stream.
+
+        Raises
+        ------
+        RequestFailedError
+            Not even the best engine can begin before the deadline.
+        """
+        if context.tokens is None:
+            return None
+        call = progress.call
+        expected = expected_first_event(chosen, context)
+        left = call.deadline - context.now
+        if expected <= left:
+            return expected
+        log_decision(
+            'not_admitted',
+            request=call.name,
+            route=call.route.name,
+            endpoint=chosen.name,
+            expected=expected,
+            left=left,
+            report_age=chosen.report_age(context.now),
+        )
+        raise self.make_failure(
+            progress, ErrorKind.overloaded, retry_seconds=expected - left
+        )
+
     def _select_version(
         self, call: DirectCall, candidates: Sequence[Backend]
     ) -> Sequence[Backend]:
