Compare the wait for an engine, and not the whole prefill, with the deadline

Prefill is an estimate of a rate, and the caller decides how little time it gives; only the wait for other calls shows that trying is in vain.

--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -16,6 +16,7 @@
     'Reservation',
     'ReservedTokens',
     'expected_first_event',
+    'expected_wait',
 )
 
 
@@ -247,16 +248,21 @@
 
 
 def expected_first_event(backend: Backend, context: PlacementContext) -> float:
-    """Return the expected seconds from a send to the first event.
+    """Return the expected seconds from a send to the first event."""
+    prompt_seconds = context.tokens.prompt / context.prompt_rate
+    return expected_wait(backend, context) + prompt_seconds
+
 
-    The prompt is prefilled once those before it are, and once the generations
+def expected_wait(backend: Backend, context: PlacementContext) -> float:
+    """Return the expected seconds until an engine begins with a prompt.
+
+    It does once the prompts before it are prefilled, and once the generations
     that run have freed memory for it and for those that wait.
     """
-    prompt_seconds = context.tokens.prompt / context.prompt_rate
     backlog_seconds = backend.prefill_backlog / context.prompt_rate
     memory_seconds = _memory_wait_seconds(backend, context)
     waited = backend.state.waited if backend.state else 0
-    return max(backlog_seconds, memory_seconds, waited) + prompt_seconds
+    return max(backlog_seconds, memory_seconds, waited)
 
 
 def _memory_wait_seconds(backend: Backend, context: PlacementContext) -> float:
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -18,6 +18,7 @@
     Reservation,
     ReservedTokens,
     expected_first_event,
+    expected_wait,
 )
 from .callprogress import CallProgress
 from .clock import Clock, RandomSource
@@ -404,26 +405,26 @@
         Raises
         ------
         RequestFailedError
-            Not even the best engine can begin before the deadline.
+            Not even the best engine can begin with it before the deadline.
         """
         if context.tokens is None:
             return None
         call = progress.call
-        expected = expected_first_event(chosen, context)
+        wait = expected_wait(chosen, context)
         left = call.deadline - context.now
-        if expected <= left:
-            return expected
+        if wait <= left:
+            return expected_first_event(chosen, context)
         log_decision(
             'not_admitted',
             request=call.name,
             route=call.route.name,
             endpoint=chosen.name,
-            expected=expected,
+            wait=wait,
             left=left,
             report_age=chosen.report_age(context.now),
         )
         raise self.make_failure(
-            progress, ErrorKind.overloaded, retry_seconds=expected - left
+            progress, ErrorKind.overloaded, retry_seconds=wait - left
         )
 
     def _select_version(
