--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -42,8 +42,8 @@
 # The same for queries that are answered with all changes since a revision, for
 # a new entry with the whole configuration.
 _MAX_ASKED_FOR_CHANGES = 2
-# Entries repeat every second that an engine is to be stopped.
-_RETIRED_SECONDS = 3.0
+# Entries repeat several times a second that an engine is to be stopped.
+_RETIRED_SECONDS = 2.0
 # Reported while the engine does not answer, so that it gets no new calls.
 _UNREACHABLE_STATE = EngineState(leaving=True)
 
--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -23,7 +23,7 @@
 __all__ = ('RolloutControl', 'RolloutDependencies', 'StatusWriter')
 
 _TELL_SECONDS = 0.25
-_RETIRE_SECONDS = 1.0
+_RETIRE_SECONDS = 0.25
 _WRITE_RETRY_SECONDS = 0.5
 # Range of the random time for which an entry leaves a write to the others; an
 # update of the store's keys takes some 0.5 s to reach all.
@@ -31,7 +31,7 @@
 # Kept between the decision and the time at which it is due.
 _DECISION_RESERVE_SECONDS = 0.7
 # Calls to plain services that began before the take-over end within this time.
-_PLAIN_DRAIN_SECONDS = 1.5
+_PLAIN_DRAIN_SECONDS = 1.2
 
 
 class StatusWriter(Protocol):
--- a/primrosewood/rollouts.py
+++ b/primrosewood/rollouts.py
@@ -27,11 +27,11 @@
 # Part of the given time, within bounds, that is kept for the take-over: the
 # steps, the moves of generations off the old engines, and the decision.
 _TAKEOVER_SHARE = 0.4
-_MIN_TAKEOVER_SECONDS = 3.0
+_MIN_TAKEOVER_SECONDS = 4.0
 _MAX_TAKEOVER_SECONDS = 8.0
 # Shares during the take-over, each with the seconds after which it applies. At
 # the last one the old engines get no more calls.
-_TAKEOVER_STEPS = ((0.0, 0.25), (0.8, 0.5), (1.6, 1.0))
+_TAKEOVER_STEPS = ((0.0, 0.25), (0.6, 0.5), (1.2, 1.0))
 
 
 class RolloutState(enum.StrEnum):
