--- a/primrosewood/ctl.py
+++ b/primrosewood/ctl.py
@@ -16,7 +16,7 @@
 from .config import check_document
 from .documents import find_differences
 from .errors import SettingsInvalidError
-from .loglines import LogLine, count_outcomes, parse_lines
+from .loglines import LogLine, count_outcomes, list_rollout_lines, parse_lines
 from .losses import find_losses
 from .requesttrace import trace_request
 
@@ -137,6 +137,16 @@
         sys.stdout.write(f'verdict: {trace.verdict}\n')
         sys.exit(0 if trace.lines else _EXIT_FAILURE)
 
+    def rollout(self, service: str, *files: str) -> None:
+        """Print what log files of several processes say about a roll-out.
+
+        Lines of one process are in order. Times are in seconds since its first
+        line printed. Exits with 1 if no line is about the service.
+        """
+        lines = list_rollout_lines(_read_logs(files), str(service))
+        _print_lines(lines, 'happened', {})
+        sys.exit(0 if lines else _EXIT_FAILURE)
+
     def outcomes(self, *files: str, seconds: float = 2) -> None:
         """Print a table of how requests ended in each interval of time.
 
--- a/primrosewood/loglines.py
+++ b/primrosewood/loglines.py
@@ -11,6 +11,7 @@
     'PROCESS_STOPPED',
     'LogLine',
     'count_outcomes',
+    'list_rollout_lines',
     'parse_lines',
 )
 
@@ -18,6 +19,7 @@
 OUTCOMES = frozenset(('answered', 'call_failed', 'refused', 'caller_left'))
 # Logged under ``why`` when a call ended because its process stopped.
 PROCESS_STOPPED = 'this process stopped'
+_ROLLOUT_EVENT_START = 'rollout_'
 _LINE_START = 'ts='
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
@@ -81,6 +83,17 @@
     return counts
 
 
+def list_rollout_lines(lines: Sequence[LogLine], service: str) -> list[LogLine]:
+    """Return the lines about the roll-out of a service, by process."""
+    about = [
+        line
+        for line in lines
+        if line.event.startswith(_ROLLOUT_EVENT_START)
+        and line.get('service') == service
+    ]
+    return sorted(about, key=lambda line: (line.process, line.index))
+
+
 def _parse_line(index: int, text: str) -> LogLine | None:
     start = text.find(_LINE_START)
     if start < 0:
--- a/tests/test_logstory.py
+++ b/tests/test_logstory.py
@@ -284,6 +284,21 @@
         self.file = Path(folder.name) / 'lines'
         self.file.write_text('\n'.join(MOVED))
 
+    def test_rollout(self):
+        """An operator asks why a roll-out stands where it stands."""
+        lines = [
+            line('b', 2, 'rollout_fault', service='s1', why='"3 of 5 failed"'),
+            line('a', 1, 'rollout_ordered', service='s1', version='v2'),
+            line('a', 1, 'rollout_ordered', service='s2', version='v9'),
+        ]
+        self.file.write_text('\n'.join(lines))
+        code, output = self.run_command('rollout', 's1', str(self.file))
+        self.assertEqual(0, code)
+        self.assertRegex(output, r'(?s)a .*rollout_ordered.*b .*3 of 5 failed')
+        self.assertNotIn('v9', output)
+        code, _output = self.run_command('rollout', 's3', str(self.file))
+        self.assertEqual(1, code)
+
     def test_explain(self):
         code, output = self.run_command('explain', 'ab12', str(self.file))
         self.assertEqual(0, code)
