--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -354,6 +354,44 @@
             while not slow.cancelled_count:
                 await asyncio.sleep(0.01)
 
+    async def test_views_that_differ(self):
+        """A back end lapses in an outage and registers again unchanged.
+
+        Guards against an entry that lost it for good: the reader, which saw
+        neither, takes the value for a rewritten one and does not send it. The
+        digest shows that the entry lacks it, and it lists everything, but not
+        for each update.
+        """
+        await self.store.put('a', b'1')
+        self.add('e1')
+        await self.wait_held({'a': b'1'})
+        newest = self.store.revision
+        update = wire.PairsTold('', newest, newest, [], 'e0', digest=12345)
+        with mock.patch.object(
+            self.store, 'list_all', wraps=self.store.list_all
+        ) as listing:
+            for _number in range(10):
+                self.bus.readers['e1'].handle(update, None)
+                await asyncio.sleep(0.03)
+        self.assertEqual(1, listing.call_count)
+
+    async def test_update_in_pieces(self):
+        """Guards against a view that seems complete while a piece is missing."""
+        self.add('e1', _RefusingKeyValue())
+        reader = self.bus.readers['e1']
+        pairs = [wire.StoredPair(key, 5, False, b'1') for key in 'ab']
+        first, last = (
+            wire.PairsTold('', 0, 5, [pair], 'e0', pieces=2, piece=number)
+            for number, pair in enumerate(pairs)
+        )
+        self.availability['e1'].clear()
+        reader.handle(first, None)
+        self.assertEqual({'a': b'1'}, self.held['e1'])
+        self.assertNotIn(True, self.availability['e1'])
+        reader.handle(last, None)
+        self.assertEqual({'a': b'1', 'b': b'1'}, self.held['e1'])
+        self.assertIn(True, self.availability['e1'])
+
 
 def make_routes(count):
     """Return a route table whose version is its number of routes."""
