--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -11,6 +11,10 @@
 from random import Random
 from unittest import mock
 
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
 from primrosewood.backendset import BackendSet
 from primrosewood.backendstate import BackendRecord, EngineState
 from primrosewood.errors import StoreUnavailableError
@@ -109,7 +113,7 @@
             )
             backends.apply_record(record, 0)
         name = f'entry-{number}'
-        return RolloutControl(
+        control = RolloutControl(
             RolloutDependencies(
                 name=name,
                 backends=backends,
@@ -121,6 +125,8 @@
                 retire=lambda address, seconds: self.retired.add(address),
             )
         )
+        self.backends[control] = backends
+        return control
 
     def _tell(self, sender, message):
         for number, entry in enumerate(self.entries):
@@ -157,7 +163,7 @@
             if now >= last_tick + 0.1:
                 entry.tick()
                 last_tick = now
-            backends = entry.select('s', entry._deps.backends.usable('s'))
+            backends = entry.select('s', self.backends[entry].usable('s'))
             if backends:
                 self._call(entry, self.random.choice(backends), now)
 
@@ -290,7 +296,7 @@
     def test_not_completed_while_an_old_engine_is_busy(self):
         deployment = _Deployment(_Version())
         for entry in deployment.entries:
-            engine = entry._deps.backends.find('old-0')
+            engine = deployment.backends[entry].find('old-0')
             engine.update_state(EngineState(running=1), 0)
         run_virtual(deployment.run())
         self.assertEqual([RolloutState.in_progress], deployment.store.history)
@@ -302,7 +308,7 @@
     def setUp(self):
         self.deployment = _Deployment(_Version(), entries=1, engines=1)
         self.control = self.deployment.entries[0]
-        self.backends = self.control._deps.backends
+        self.backends = self.deployment.backends[self.control]
         self.backends.record_store_result(answered=True, now=0)
 
     def names(self):
@@ -398,5 +404,72 @@
         self.assertEqual('', find_fault(tallies))
 
 
+class DecisionMachine(RuleBasedStateMachine):
+    """Orders and statuses in any order, against a plain model.
+
+    Guards against a decision that turns, and against calls to a version that
+    was rolled back.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.deployment = _Deployment(_Version(), entries=1, engines=1)
+        self.control = self.deployment.entries[0]
+        self.revision = 10
+        self.order = 0
+        self.decision = None
+
+    def run_in_loop(self, action, *arguments):
+        async def run():
+            return action(*arguments)
+
+        return run_virtual(run())
+
+    @rule()
+    def order_again(self):
+        self.revision += 1
+        self.order = self.revision
+        self.decision = None
+        order = RolloutOrder('s', 'v2', _SECONDS, self.order)
+        self.run_in_loop(self.control.apply_order, 's', order)
+
+    @rule()
+    def repeat_an_older_order(self):
+        order = RolloutOrder('s', 'v2', _SECONDS, max(1, self.order - 1))
+        if self.order:
+            self.run_in_loop(self.control.apply_order, 's', order)
+
+    @rule(state=st.sampled_from(list(RolloutState)), is_older=st.booleans())
+    def read_status(self, state, is_older):
+        self.revision += 1
+        revision = min(self.order, 5) if is_older else self.revision
+        status = RolloutStatus('v2', state, revision)
+        self.run_in_loop(self.control.apply_status, 's', status)
+        counts = self.order and not is_older
+        if counts and self.decision is None:
+            final = state != RolloutState.in_progress
+            self.decision = state if final else None
+
+    @invariant()
+    def calls_follow_the_decision(self):
+        backends = self.deployment.backends[self.control].usable('s')
+        names = {
+            backend.name
+            for _call in range(40)
+            for backend in self.run_in_loop(self.control.select, 's', backends)
+        }
+        wanted = {
+            RolloutState.completed: {'new-1'},
+            RolloutState.rolled_back: {'old-0'},
+        }.get(self.decision, {'old-0', 'new-1'})
+        assert names == wanted, (names, self.decision)
+
+
+DecisionTest = DecisionMachine.TestCase
+DecisionTest.settings = settings(
+    derandomize=True, max_examples=30, stateful_step_count=12, deadline=None
+)
+
+
 if __name__ == '__main__':
     unittest.main()
