--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -95,7 +95,7 @@
         self.bad_answers = []
         self.grey_engines = {}
         self.retired = set()
-        self.running = Counter()
+        self.backends = {}
         self.entries = [
             self._make_entry(each, engines) for each in range(entries)
         ]
