Take over only when there are enough engines of the new version

Cause: found in a read of the change. Without any engine of the new version the take-over was counted as drained as soon as no call ran on the old ones, and completed, at which the platform stops the old ones, was written.

Change: with fewer than 0.7 usable new back ends for each old one the trial goes on and nothing is completed. test_not_completed_without_new_engines fails without.

--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -30,6 +30,9 @@
 _WRITE_TURN_SECONDS = 0.8
 # Kept between the decision and the time at which it is due.
 _DECISION_RESERVE_SECONDS = 0.7
+# Fewest usable new back ends for each old one at the take-over. Some of either
+# are always being replaced.
+_NEW_SHARE = 0.7
 # Calls to plain services that began before the take-over end within this time.
 _PLAIN_DRAIN_SECONDS = 1.2
 
@@ -170,7 +173,9 @@
     def tick(self) -> None:
         """Judge, tell the others, and write what has to be written."""
         now = self._deps.clock.monotonic()
-        for rollout in self._rollouts.values():
+        for service, rollout in self._rollouts.items():
+            if rollout.decided is None and self._lacks_new(service, rollout):
+                rollout.postpone_takeover(now)
             if rollout.judge(now):
                 self._log_fault(rollout, self._deps.name)
                 self._told_at = float('-inf')
@@ -248,11 +253,18 @@
                     backend.record.address, seconds if taking_over else -1.0
                 )
 
+    def _lacks_new(self, service: str, rollout: Rollout) -> bool:
+        """Return whether the new back ends cannot take the old ones' calls."""
+        usable = self._deps.backends.usable(service)
+        new = sum(rollout.is_new(backend) for backend in usable)
+        old = len(self._list_old(service, rollout))
+        return new < max(1, _NEW_SHARE * old)
+
     def _list_old(self, service: str, rollout: Rollout) -> list[Backend]:
         return [
             backend
-            for backend in self._deps.backends.backends
-            if backend.record.service == service and not rollout.is_new(backend)
+            for backend in self._deps.backends.list_service(service)
+            if not rollout.is_new(backend)
         ]
 
     def _find_next_state(
@@ -275,7 +287,7 @@
         """Return whether the old engines may stop without harm to calls."""
         if now < rollout.full_at + _PLAIN_DRAIN_SECONDS:
             return False
-        if rollout.is_suspicious(now):
+        if rollout.is_suspicious(now) or self._lacks_new(service, rollout):
             return False
         return not any(
             backend.open_calls or (backend.state and backend.state.running)
--- a/primrosewood/rollouts.py
+++ b/primrosewood/rollouts.py
@@ -29,6 +29,8 @@
 _TAKEOVER_SHARE = 0.4
 _MIN_TAKEOVER_SECONDS = 4.0
 _MAX_TAKEOVER_SECONDS = 8.0
+# The take-over waits this much longer whenever new back ends are missing.
+_POSTPONE_SECONDS = 0.5
 # Shares during the take-over, each with the seconds after which it applies. At
 # the last one the old engines get no more calls.
 _TAKEOVER_STEPS = ((0.0, 0.25), (0.6, 0.5), (1.2, 1.0))
@@ -107,6 +109,7 @@
         self.fault = ''
         self._recent = RecentEvidence()
         self._began_at = now
+        self._takes_over_at = now + _find_trial_seconds(order.seconds)
         self._credit = draw
 
     @property
@@ -119,12 +122,7 @@
     @property
     def takeover_at(self) -> float:
         """When the new version begins to take over, in monotonic seconds."""
-        seconds = self.order.seconds
-        kept = min(
-            _MAX_TAKEOVER_SECONDS,
-            max(_MIN_TAKEOVER_SECONDS, _TAKEOVER_SHARE * seconds),
-        )
-        return self._began_at + max(0, seconds - kept)
+        return self._takes_over_at
 
     @property
     def full_at(self) -> float:
@@ -156,6 +154,10 @@
         ]
         return shares[-1] if shares else _TRIAL_SHARE
 
+    def postpone_takeover(self, now: float) -> None:
+        """Go on with the trial, as there are too few new back ends."""
+        self._takes_over_at = max(self._takes_over_at, now + _POSTPONE_SECONDS)
+
     def has_taken_over(self, now: float) -> bool:
         """Return whether the old engines get no more calls."""
         return self.share(now) >= 1
@@ -209,3 +211,12 @@
             return False
         self.decided = status.state
         return True
+
+
+def _find_trial_seconds(seconds: float) -> float:
+    """Return for how long a new version is tried, of the time for all."""
+    kept = min(
+        _MAX_TAKEOVER_SECONDS,
+        max(_MIN_TAKEOVER_SECONDS, _TAKEOVER_SHARE * seconds),
+    )
+    return max(0, seconds - kept)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -293,6 +293,18 @@
         old = {f'10.0.0.{each}:80' for each in range(0, 12, 2)}
         self.assertEqual(old, deployment.retired)
 
+    def test_not_completed_without_new_engines(self):
+        """Guards against old engines that stop before there are others."""
+        deployment = _Deployment(_Version())
+        for backends in deployment.backends.values():
+            backends.record_store_result(answered=True, now=-60)
+            for number in range(1, 9, 2):
+                backends.remove(f'new-{number}', 0)
+        run_virtual(deployment.run())
+        self.assertEqual([RolloutState.in_progress], deployment.store.history)
+        new_share = len(deployment.new_calls) / sum(deployment.calls.values())
+        self.assertLess(new_share, 0.1)
+
     def test_not_completed_while_an_old_engine_is_busy(self):
         deployment = _Deployment(_Version())
         for entry in deployment.entries:
