Send on a link without sorting all of them

Each message that another process is to forward sorted the links by silence, 150 of them at that size; now the first ones that were heard are taken.

--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -237,17 +237,18 @@
         A peer whose VM has just been taken away is silent until its link is
         given up, so that links which were heard lately come first.
         """
-        by_silence = sorted(
-            self._links.items(),
-            key=lambda item: item[1].silence > _SILENT_SECONDS,
-        )
-        sent = 0
-        for address, link in by_silence:
-            if sent < limit and link.send(message):
-                sent += 1
-                # Moved to the end, so that the next message uses another link.
-                self._links[address] = self._links.pop(address)
-        return sent > 0
+        used: list[str] = []
+        for is_silent in (False, True):
+            for address, link in self._links.items():
+                if len(used) == limit:
+                    break
+                silent = link.silence > _SILENT_SECONDS
+                if silent == is_silent and link.send(message):
+                    used.append(address)
+        for address in used:
+            # Moved to the end, so that the next message uses another link.
+            self._links[address] = self._links.pop(address)
+        return bool(used)
 
     def _list_receiving(self, now: float) -> set[str]:
         """Return the addresses of engines to which others copy generations."""
