--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from itertools import chain
 
 from . import gen_wire as wire
 from .backendset import BackendSet
@@ -237,14 +238,17 @@
         A peer whose VM has just been taken away is silent until its link is
         given up, so that links which were heard lately come first.
         """
+        links = self._links.items()
+        heard_first = chain(
+            (each for each in links if not _is_silent(each[1])),
+            (each for each in links if _is_silent(each[1])),
+        )
         used: list[str] = []
-        for is_silent in (False, True):
-            for address, link in self._links.items():
-                if len(used) == limit:
-                    break
-                silent = link.silence > _SILENT_SECONDS
-                if silent == is_silent and link.send(message):
-                    used.append(address)
+        for address, link in heard_first:
+            if len(used) == limit:
+                break
+            if link.send(message):
+                used.append(address)
         for address in used:
             # Moved to the end, so that the next message uses another link.
             self._links[address] = self._links.pop(address)
@@ -320,6 +324,10 @@
             )
 
 
+def _is_silent(link: PeerLink) -> bool:
+    return link.silence > _SILENT_SECONDS
+
+
 def _has_slot(backend: Backend) -> bool:
     running = backend.state.running if backend.state else backend.open_calls
     return running < backend.record.slots
