List the start of the planned size as known red

330 entries before 630 engines: 312 KB into an entry (323 allowed), 936 KB a second out of a process (262 allowed). Four entries read within 0.2 s before they hear of each other, and each sends some 400 records to all. Weighed: a longer random time before the second read (an alone entry would then learn of changes too late).

--- a/tests/test_fleet_start.py
+++ b/tests/test_fleet_start.py
@@ -256,6 +256,10 @@
             with self.subTest(entries=entries, engines=engines):
                 self.check(entries, engines, others=3)
 
+    def test_bytes_of_a_start_at_the_planned_size(self):
+        """Guards against a process that forwards megabytes as a fleet starts."""
+        self.check(entries=330, engines=630, others=3)
+
     def test_back_ends_beyond_the_engines(self):
         """Guards against 2,500 rewritten records a second to every entry."""
         self.check(entries=60, engines=60, others=1200)
