Count records without a version as the version in force

Found in a read of the change: where records state no version, all back ends counted as new, and an order would have been completed without a trial. Only a back end that has announced itself without a record may be new.

--- a/primrosewood/rollouts.py
+++ b/primrosewood/rollouts.py
@@ -137,9 +137,10 @@
     def is_new(self, backend: Backend) -> bool:
         """Return whether a back end has the new version, or may have it.
 
-        The version of a back end that has only announced itself is unknown.
+        A back end that has only announced itself states no version.
         """
-        return backend.record.version in {self.order.version, ''}
+        announced = backend.announced_at is not None
+        return announced or backend.record.version == self.order.version
 
     def share(self, now: float) -> float:
         """Return the share of calls that the new version may get."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -385,6 +385,13 @@
         self.backends.remove('old-0', 100)
         self.assertEqual({'new-1'}, self.names())
 
+    def test_records_without_a_version(self):
+        """Guards against old engines that count as new and are completed."""
+        record = BackendRecord('plain', 's', '10.0.0.8:80', 'd1', 24)
+        self.backends.apply_record(record, 100)
+        self.apply(RolloutStatus('v2', RolloutState.rolled_back, 11))
+        self.assertEqual({'old-0', 'plain'}, self.names())
+
     def test_announced_engine_of_unknown_version(self):
         """It may have the new version, so it gets the trial share at most."""
         self.apply(RolloutStatus('v2', RolloutState.rolled_back, 11))
