--- a/primrosewood/rolloutevidence.py
+++ b/primrosewood/rolloutevidence.py
@@ -22,9 +22,9 @@
 )
 
 # Evidence that a version is bad, as a log likelihood ratio: a good version is
-# rolled back once in some thousand cases. Evidence of a lower ratio makes it
-# suspicious.
-_MAX_FALSE_SHARE = 0.001
+# rolled back once in some thousand cases, and more often beside a faulty engine.
+# Evidence of a lower ratio makes it suspicious.
+_MAX_FALSE_SHARE = 0.0001
 _SUSPICIOUS_SHARE = 0.05
 _SUSPICIOUS_RATIO = -log(_SUSPICIOUS_SHARE)
 _CONVINCING_RATIO = -log(_MAX_FALSE_SHARE)
