--- a/primrosewood/rolloutevidence.py
+++ b/primrosewood/rolloutevidence.py
@@ -21,9 +21,9 @@
     'is_suspicious',
 )
 
-# Evidence that a version is bad, as a log likelihood ratio: a good version is
-# rolled back once in some thousand cases, and more often beside a faulty engine.
-# Evidence of a lower ratio makes it suspicious.
+# Evidence that a version is bad, as a log likelihood ratio. A good version is
+# rolled back more often than this share tells, as the test is repeated and one
+# of its engines may be faulty. Lower ratios make a version suspicious.
 _MAX_FALSE_SHARE = 0.0001
 _SUSPICIOUS_SHARE = 0.05
 _SUSPICIOUS_RATIO = -log(_SUSPICIOUS_SHARE)
