Reckon the wait and the last outcomes once

Found in a read of the whole change. For each generation the wait for an engine was reckoned twice, once for the deadline and once inside the expected first event. Asking whether a version is suspicious summed all evidence again and added a second sample of the same moment to the last seconds; it now reads what the judgement kept, which runs earlier in the same tick. BackendIndex had a length that nobody used.

Behaviour is the same but for the rounding of a product.

--- a/primrosewood/backendindex.py
+++ b/primrosewood/backendindex.py
@@ -20,9 +20,6 @@
         self._by_service: dict[str, _Bucket] = {}
         self._by_address: dict[str, _Bucket] = {}
 
-    def __len__(self) -> int:
-        return len(self._by_name)
-
     @property
     def backends(self) -> list[Backend]:
         """All back ends, in the order in which they were added."""
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -157,6 +157,11 @@
     prompt_rate: float = PROMPT_TOKENS_PER_SECOND
     token_seconds: float = TOKEN_SECONDS
 
+    @property
+    def prompt_seconds(self) -> float:
+        """Seconds that an engine takes to prefill the call's prompt."""
+        return self.tokens.prompt / self.prompt_rate
+
 
 class Balancer(Protocol):
     """Policy that chooses among back ends; ``usable`` is never empty."""
@@ -226,9 +231,7 @@
         generating = state.generating
     first_event_seconds = expected_first_event(backend, context)
     answer_seconds = first_event_seconds + tokens.answer * token_seconds
-    added_delay = (
-        _DELAYED_SHARE * generating * tokens.prompt / context.prompt_rate
-    )
+    added_delay = _DELAYED_SHARE * generating * context.prompt_seconds
     risk = _late_risk(first_event_seconds, context.objective)
     risk += _memory_risk(_memory_share(backend, context))
     return answer_seconds * (1 + _LOSS_WEIGHT * risk) + added_delay
@@ -249,8 +252,7 @@
 
 def expected_first_event(backend: Backend, context: PlacementContext) -> float:
     """Return the expected seconds from a send to the first event."""
-    prompt_seconds = context.tokens.prompt / context.prompt_rate
-    return expected_wait(backend, context) + prompt_seconds
+    return expected_wait(backend, context) + context.prompt_seconds
 
 
 def expected_wait(backend: Backend, context: PlacementContext) -> float:
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -17,7 +17,6 @@
     PlacementContext,
     Reservation,
     ReservedTokens,
-    expected_first_event,
     expected_wait,
 )
 from .callprogress import CallProgress
@@ -413,7 +412,7 @@
         wait = expected_wait(chosen, context)
         left = call.deadline - context.now
         if wait <= left:
-            return expected_first_event(chosen, context)
+            return wait + context.prompt_seconds
         log_decision(
             'not_admitted',
             request=call.name,
--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -287,7 +287,7 @@
         """Return whether the old engines may stop without harm to calls."""
         if now < rollout.full_at + _PLAIN_DRAIN_SECONDS:
             return False
-        if rollout.is_suspicious(now) or self._lacks_new(service, rollout):
+        if rollout.is_suspicious() or self._lacks_new(service, rollout):
             return False
         return not any(
             backend.open_calls or (backend.state and backend.state.running)
--- a/primrosewood/rolloutevidence.py
+++ b/primrosewood/rolloutevidence.py
@@ -16,6 +16,7 @@
 __all__ = (
     'Evidence',
     'RecentEvidence',
+    'Tallies',
     'Tally',
     'find_fault',
     'is_suspicious',
--- a/primrosewood/rollouts.py
+++ b/primrosewood/rollouts.py
@@ -14,6 +14,7 @@
 from .rolloutevidence import (
     Evidence,
     RecentEvidence,
+    Tallies,
     find_fault,
     is_suspicious,
 )
@@ -108,6 +109,7 @@
         self.decided: RolloutState | None = None
         self.fault = ''
         self._recent = RecentEvidence()
+        self._recent_sums: Tallies = {}
         self._began_at = now
         self._takes_over_at = now + _find_trial_seconds(order.seconds)
         self._credit = draw
@@ -189,13 +191,13 @@
         if self.fault or self.decided is not None:
             return False
         total = self.evidence.sum(now)
-        recent = self._recent.update(total, now)
-        self.fault = find_fault(total) or find_fault(recent)
+        self._recent_sums = self._recent.update(total, now)
+        self.fault = find_fault(total) or find_fault(self._recent_sums)
         return bool(self.fault)
 
-    def is_suspicious(self, now: float) -> bool:
-        """Return whether the new version should be tried for longer."""
-        return is_suspicious(self._recent.update(self.evidence.sum(now), now))
+    def is_suspicious(self) -> bool:
+        """Return whether the last judgement speaks for a longer trial."""
+        return is_suspicious(self._recent_sums)
 
     def suspect(self, fault: str) -> bool:
         """Believe another entry's fault; return whether that is news."""
