Log what time a back end gives when it refuses a call

The logs could not tell whether an entry reads how long a back end that refuses a call wants no more of them, or does not: send_failed named the status alone. The time is decoded in the adapter, travels with the refusal and is logged as retry_after. Nothing decides by it yet.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -193,6 +193,7 @@
             request=call.name,
             endpoint=backend.name,
             why=error,
+            retry_after=getattr(error, 'retry_seconds', 0) or None,
             doubtful=doubtful,
         )
         may_not_repeat = doubtful and not call.route.repeatable
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -436,12 +436,22 @@
     if response.status == HTTPStatus.MISDIRECTED_REQUEST:
         raise MisdirectedError(ErrorKind.no_endpoint, 'another one is there')
     if headers.NOT_EXECUTED in received:
-        raise NotRunError(ErrorKind.overloaded, f'status {response.status}')
+        raise NotRunError(
+            ErrorKind.overloaded,
+            f'status {response.status}',
+            retry_seconds=_parse_retry_after(response) or 0,
+        )
     fault = _find_response_fault(call, response)
     if fault:
         raise BackendCutError(fault)
 
 
+def _parse_retry_after(response: aiohttp.ClientResponse) -> float | None:
+    return headers.parse_quantity(
+        response.headers.get(headers.RETRY_AFTER, '')
+    )
+
+
 def _is_mismatched(call: DirectCall, response: aiohttp.ClientResponse) -> bool:
     """Tell whether a response is another back end's or to another call."""
     if response.status == HTTPStatus.MISDIRECTED_REQUEST:
--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -16,6 +16,7 @@
     'ORGANISATION',
     'RATE_LIMIT',
     'RESPONSE_SEAL',
+    'RETRY_AFTER',
     'TOKEN_USAGE',
     'drop_hop_by_hop_headers',
     'filter_caller_headers',
@@ -44,6 +45,9 @@
 LAST_EVENT_ID = 'Last-Event-Id'
 # Calls per second that the back end accepts from all entries together.
 RATE_LIMIT = 'Server-Limit'
+# Seconds for which a back end that refuses a call wants no further ones from
+# this process.
+RETRY_AFTER = 'Retry-After'
 # Tokens of the prompt and the maximum for the answer, separated by a comma.
 TOKEN_USAGE = 'Primrosewood-Token-Usage'
 # The caller's estimate of the answer's tokens.
