--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -447,9 +447,7 @@
 
 
 def _parse_retry_after(response: aiohttp.ClientResponse) -> float | None:
-    return headers.parse_quantity(
-        response.headers.get(headers.RETRY_AFTER, '')
-    )
+    return headers.parse_quantity(response.headers.get(headers.RETRY_AFTER, ''))
 
 
 def _is_mismatched(call: DirectCall, response: aiohttp.ClientResponse) -> bool:
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -20,6 +20,7 @@
 _EXPECTED_HEADER = 'Primrosewood-Expect-Instance'
 _INSTANCE_HEADER = 'Primrosewood-Instance-Id'
 _RATE_LIMIT_HEADER = 'Server-Limit'
+_LEAVING_HEADER = 'Server-Leaving'
 _MISDIRECTED_REQUEST = 421
 _NOT_FOUND = 404
 _SERVICE_UNAVAILABLE = 503
@@ -72,6 +73,10 @@
         The calls that ran, in order of arrival.
     refusing
         Whether new calls are answered with 503 and do not run.
+    retry_after
+        Seconds that refusals state as ``Retry-After``; None to leave it out.
+    leaving
+        Whether all answers say that the back end is leaving.
     limit
         Rate limit that the answers state, in calls per second; None for no
         limit.
@@ -83,6 +88,8 @@
         self.name = name
         self.ran: list[RecordedCall] = []
         self.refusing = False
+        self.retry_after: float | None = None
+        self.leaving = False
         self.limit: float | None = None
         self.arrived: list[float] = []
 
@@ -94,12 +101,16 @@
                 status=_MISDIRECTED_REQUEST,
                 headers={_INSTANCE_HEADER: self.name},
             )
-        if self.refusing:
-            return web.Response(
-                status=_SERVICE_UNAVAILABLE,
-                headers={'Primrosewood-Not-Executed': '1'},
-            )
-        return None
+        return self._refuse() if self.refusing else None
+
+    def _refuse(self) -> web.Response:
+        headers = {'Primrosewood-Not-Executed': '1', **self._common_headers()}
+        if self.retry_after is not None:
+            headers['Retry-After'] = str(self.retry_after)
+        return web.Response(status=_SERVICE_UNAVAILABLE, headers=headers)
+
+    def _common_headers(self) -> dict[str, str]:
+        return {_LEAVING_HEADER: '1'} if self.leaving else {}
 
     async def _record_call(self, request: web.BaseRequest) -> dict[str, str]:
         name = request.headers[_ATTEMPT_HEADER]
@@ -112,7 +123,11 @@
                 await request.read(),
             )
         )
-        headers = {_ATTEMPT_HEADER: name, _SEAL_HEADER: f'{self.name}.{name}'}
+        headers = {
+            _ATTEMPT_HEADER: name,
+            _SEAL_HEADER: f'{self.name}.{name}',
+            **self._common_headers(),
+        }
         if self.limit is not None:
             headers[_RATE_LIMIT_HEADER] = str(self.limit)
         return headers
@@ -193,7 +208,12 @@
         if request.path == '/report':
             return self._report()
         if request.path == '/healthz':
-            return web.Response(headers={_INSTANCE_HEADER: self.name})
+            return web.Response(
+                headers={
+                    _INSTANCE_HEADER: self.name,
+                    **self._common_headers(),
+                }
+            )
         if request.path == '/kv-move':
             return await self._move(request)
         return self._check_refusal(request) or await self._generate(request)
@@ -223,7 +243,7 @@
         }
         if self.leaves_ms is not None:
             report['leaves_ms'] = self.leaves_ms
-        return web.json_response(report)
+        return web.json_response(report, headers=self._common_headers())
 
     async def _move(self, request: web.BaseRequest) -> web.Response:
         command = await request.json()
@@ -244,10 +264,7 @@
         if copy_source:
             handle = copy_source.rpartition('/')[2]
             if self._copies.events.pop(handle, None) is None:
-                return web.Response(
-                    status=_SERVICE_UNAVAILABLE,
-                    headers={'Primrosewood-Not-Executed': '1'},
-                )
+                return self._refuse()
             previous_events = int(request.headers.get('Last-Event-Id', '0'))
         response = web.StreamResponse(headers=await self._record_call(request))
         response.content_type = 'text/event-stream'
