Keep to the pause that a back end asks for, and to its word that it leaves

Callers saw nothing of it; the back ends did. One that answers 503 with Retry-After: 3 got up to nine calls from one entry within that time, and one that says Server-Leaving went on getting calls until its record said so.

Cause: of what a back end says of itself in an answer only Server-Limit was read. A refusal kept calls away for one fixed second, whatever it asked for (mark_suspect), and only as long as another back end was free. The class of fault: a bound that the other side states while it runs, in a header that nobody decodes. Ruled out by the logs: repeats that pass by a check (every call in the rest had sends=1), and a back end whose entry was made anew (no endpoint_in or endpoint_out in that time).

Change: the adapter decodes both headers from every answer but a 421, which is another back end's, into an AnswerNotice, and the back end's Backpressure keeps them. It belongs to one start of a back end (name and boot) and outlives its record, which may lapse and return, or be overwritten by a late one of another start. First sends, repeats and targets of copies pass by a back end that rests or leaves. A stream whose copy is at a resting engine may go on at once one time in a pause, as nobody else has the copy; the next one waits, or fails at once if the pause outlasts the caller. One whose target had said that it leaves before the call arrived is not sent there. Where all rest, the caller is refused at once with the time at which the first one is free; the same time goes with a refusal after the last repeat. The process beside an engine sends it nothing while it rests, keeps its last report in force meanwhile, and takes the header of a leaving engine for its word.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -5,6 +5,7 @@
 
 from .backendindex import BackendIndex
 from .backendstate import Backend, BackendRecord
+from .backpressure import Backpressure
 from .enginespeed import TOKEN_SECONDS
 from .sharedlimits import ColdLimit, EntryCount
 
@@ -20,6 +21,8 @@
 _OUTAGE_TAIL_SECONDS = 3.0
 # Most names of removed back ends that are kept.
 _MAX_REMOVED_NAMES = 4096
+# Most starts of back ends whose notices are kept.
+_MAX_REMEMBERED_STARTS = 4096
 # Back ends of a failure domain that has just been restored may be cold before
 # their own records say so, which are written every 1.2 s.
 _RESTORED_COLD_SECONDS = 3.0
@@ -58,6 +61,10 @@
     # Names whose records vanished around an outage; see `remove`.
     _missing: set[str] = field(default_factory=set)
     _removed_names: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    # By name and boot.
+    _backpressures: OrderedDict[tuple[str, int], Backpressure] = field(
+        default_factory=OrderedDict
+    )
     # Announced back ends that have not registered yet.
     _announced: set[str] = field(default_factory=set)
     _restored_at: dict[str, float] = field(default_factory=dict)
@@ -77,8 +84,13 @@
         announced = known is not None and known.announced_at is not None
         # An announcement states no boot to compare.
         if known is None or not (announced or known.record.boot == record.boot):
-            known = Backend(record, ColdLimit(self.entries))
+            known = Backend(
+                record,
+                ColdLimit(self.entries),
+                backpressure=self._recall_backpressure(record),
+            )
             self._index.add(known)
+        self._remember_backpressure(record, known.backpressure)
         self._index.update(known, record)
         known.announced_at = None
         self._announced.discard(record.name)
@@ -220,6 +232,24 @@
             or now < last_outage_at + _OUTAGE_TAIL_SECONDS
         )
 
+    def _recall_backpressure(self, record: BackendRecord) -> Backpressure:
+        """Return the notices of one start of a back end that are in force.
+
+        They outlive its record, which may lapse and return, or be overwritten
+        for a while by a late one of another start.
+        """
+        start = record.name, record.boot
+        return self._backpressures.get(start) or Backpressure()
+
+    def _remember_backpressure(
+        self, record: BackendRecord, backpressure: Backpressure
+    ) -> None:
+        start = record.name, record.boot
+        self._backpressures[start] = backpressure
+        self._backpressures.move_to_end(start)
+        if len(self._backpressures) > _MAX_REMEMBERED_STARTS:
+            self._backpressures.popitem(last=False)
+
     def _drop(self, name: str) -> None:
         self._missing.discard(name)
         self._announced.discard(name)
--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .backpressure import Backpressure
 from .sharedlimits import CallLimit, ColdLimit
 
 __all__ = ('Backend', 'BackendRecord', 'EngineState')
@@ -118,6 +119,8 @@
     leaving
         Whether it was removed, or is known to be leaving from another source
         than its report and record.
+    backpressure
+        What it has asked of this entry in its answers.
     announced_at
         When it was announced, None once it is registered.
     failure_rate
@@ -132,6 +135,7 @@
     record: BackendRecord
     cold_limit: ColdLimit
     call_limit: CallLimit = field(default_factory=CallLimit)
+    backpressure: Backpressure = field(default_factory=Backpressure)
     open_calls: int = 0
     open_tokens: int = 0
     unread_tokens: int = 0
@@ -156,7 +160,8 @@
     def stopping(self) -> bool:
         """Whether any source says that it takes no new calls."""
         reported = self.state is not None and self.state.leaving
-        return self.leaving or reported or self.record.draining
+        stated = self.backpressure.leaving_since is not None
+        return self.leaving or reported or stated or self.record.draining
 
     @property
     def record_is_stale(self) -> bool:
@@ -175,6 +180,13 @@
         reported = self.state.unread_tokens + self.unreported_prompts
         return max(self.unread_tokens, reported)
 
+    def seconds_until_call(self, now: float) -> float:
+        """Return the seconds until it takes a call again, 0 for now."""
+        return max(
+            self.call_limit.seconds_until_call(now),
+            self.backpressure.seconds_until_call(now),
+        )
+
     def report_age(self, now: float) -> float | None:
         """Return seconds since the last report, None without one."""
         return None if self.state is None else now - self.state_at
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -199,9 +199,16 @@
         may_not_repeat = doubtful and not call.route.repeatable
         if may_not_repeat or progress.possible_runs >= call.route.max_endpoints:
             raise self.make_failure(progress, ErrorKind.outcome_unknown, error)
-        within_budget = self._repeat_budget(call.service).spend(self._now())
+        now = self._now()
+        within_budget = self._repeat_budget(call.service).spend(now)
         if progress.sends >= _MAX_SENDS or not within_budget:
-            raise self.make_failure(progress, ErrorKind.overloaded, error)
+            seconds = self._seconds_until_call(call.service, now)
+            raise self.make_failure(
+                progress,
+                ErrorKind.overloaded,
+                error,
+                seconds or _RETRY_AFTER_SECONDS,
+            )
 
     def make_failure(
         self,
@@ -228,6 +235,7 @@
             route=call.route.name,
             kind=kind.value,
             why=error,
+            retry_after=retry_seconds,
             sends=progress.sends,
             last_event=progress.order.last,
             seconds=self._now() - call.arrived,
@@ -295,18 +303,35 @@
         route = progress.call.route.name
         self._deps.rollouts.record(route, backend, failed, pace)
 
-    def find_address(self, progress: CallProgress, address: str) -> Backend:
-        """Return the back end at an address.
+    async def find_resuming(
+        self, progress: CallProgress, address: str
+    ) -> Backend:
+        """Return the back end that resumes a moved call at an address.
+
+        Waits while it has asked for a pause, as nobody else has the copy.
 
         Raises
         ------
         RequestFailedError
             This entry knows no back end at the address, and a call must carry
-            the name of its back end.
+            the name of its back end; or it had said that it is leaving when
+            the call arrived, or its pause outlasts the call.
         """
         backend = self._deps.backends.find_address(address)
-        if backend is None:
+        if backend is None or _left_before(backend, progress.call):
             raise self.make_failure(progress, ErrorKind.outcome_unknown)
+        backpressure = backend.backpressure
+        while not backpressure.allow_exempt_call(self._now()):
+            seconds = backpressure.seconds_until_call(self._now())
+            if self._now() + seconds >= progress.call.deadline:
+                raise self.make_failure(progress, ErrorKind.outcome_unknown)
+            log_decision(
+                'resumption_waits',
+                request=progress.call.name,
+                endpoint=backend.name,
+                seconds=seconds,
+            )
+            await asyncio.sleep(seconds)
         return backend
 
     def estimate_answer_tokens(self, call: DirectCall) -> int:
@@ -380,20 +405,12 @@
 
     def _list_candidates(
         self, progress: CallProgress, now: float
-    ) -> list[Backend]:
-        return [
-            backend
-            for backend in self._list_eligible(progress, now)
-            if not backend.call_limit.seconds_until_call(now)
-        ]
-
-    def _list_eligible(
-        self, progress: CallProgress, now: float
     ) -> list[Backend]:
         return [
             backend
             for backend in self._deps.backends.usable(progress.call.service)
             if backend.name not in progress.failed_backends
+            and not backend.seconds_until_call(now)
             and self._has_cold_capacity(backend, now)
         ]
 
@@ -439,15 +456,24 @@
         self, progress: CallProgress, now: float
     ) -> RequestFailedError:
         """Return the error for a call that no back end may get now."""
-        waits = [
-            backend.call_limit.seconds_until_call(now)
-            for backend in self._list_eligible(progress, now)
-        ]
-        if not waits:
-            return self.make_failure(progress, ErrorKind.no_endpoint)
-        # Every back end has reached its rate limit.
+        seconds = self._seconds_until_call(progress.call.service, now)
+        kind = ErrorKind.overloaded if seconds else ErrorKind.no_endpoint
         return self.make_failure(
-            progress, ErrorKind.overloaded, retry_seconds=min(waits)
+            progress, kind, retry_seconds=seconds or _RETRY_AFTER_SECONDS
+        )
+
+    def _seconds_until_call(self, service: str, now: float) -> float:
+        """Return the seconds until the first back end takes calls again.
+
+        Zero if one does now, as after a failure of a single call, or if there
+        is none.
+        """
+        return min(
+            (
+                backend.seconds_until_call(now)
+                for backend in self._deps.backends.usable(service)
+            ),
+            default=0,
         )
 
     def _make_context(self, call: DirectCall, now: float) -> PlacementContext:
@@ -512,5 +538,11 @@
         return self._deps.clock.monotonic()
 
 
+def _left_before(backend: Backend, call: DirectCall) -> bool:
+    """Return whether a back end had said that it leaves before a call."""
+    leaving_since = backend.backpressure.leaving_since
+    return leaving_since is not None and leaving_since < call.arrived
+
+
 def _length_group(call: DirectCall) -> tuple[str, ...]:
     return (call.service, call.route.name, call.organisation)
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -17,7 +17,7 @@
 from .enginemover import EngineMover
 from .enginereports import EngineReports
 from .enginespeed import MemoryReleaseEstimator, TokenTimeEstimator
-from .errors import BackendCutError
+from .errors import BackendCutError, BackendPausedError
 from .link import Link
 from .logs import log_decision, log_event
 from .metrics import Metrics
@@ -123,6 +123,9 @@
                 reading = await self._engine.read()
             except BackendCutError as error:
                 self._handle_engine_lost(error)
+            except BackendPausedError:
+                # The last report stays in force.
+                self._send_report_if_due()
             else:
                 self._handle_reading(reading, started_at)
             await asyncio.sleep(
@@ -230,7 +233,7 @@
     async def _identify_engine(self) -> None:
         try:
             name = await self._engine.identify()
-        except BackendCutError as error:
+        except (BackendCutError, BackendPausedError) as error:
             log_event('engine_unnamed', why=error)
             return
         if self._reading is None:
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -151,7 +151,7 @@
             for backend in self._backends.usable(service)
             if _has_slot(backend)
             and self.may_receive(backend)
-            and not backend.call_limit.seconds_until_call(now)
+            and not backend.seconds_until_call(now)
         ]
 
     def register_engine(self, found: wire.EngineFound) -> bool:
--- a/primrosewood/errors.py
+++ b/primrosewood/errors.py
@@ -9,6 +9,7 @@
     'ERROR_RESPONSES',
     'AttemptFailedError',
     'BackendCutError',
+    'BackendPausedError',
     'DoubtError',
     'ErrorKind',
     'ErrorResponse',
@@ -306,6 +307,10 @@
     """An endpoint refused an attempt without executing it."""
 
 
+class BackendPausedError(NotRunError):
+    """A back end has asked for no calls for some time; nothing was sent."""
+
+
 class MisdirectedError(NotRunError):
     """A back end other than the intended one answered at the called address."""
 
--- a/primrosewood/movableengine.py
+++ b/primrosewood/movableengine.py
@@ -38,6 +38,8 @@
         ------
         BackendCutError
             The engine does not answer.
+        BackendPausedError
+            The engine has asked for a pause.
         """
 
     async def identify(self) -> str:
@@ -47,6 +49,8 @@
         ------
         BackendCutError
             The engine does not answer.
+        BackendPausedError
+            The engine has asked for a pause.
         """
 
     async def copy(self, run: EngineRun, target: str, last: bool) -> str:
@@ -61,8 +65,8 @@
         Raises
         ------
         NotRunError
-            The generation no longer runs here, or the target has no free
-            capacity.
+            The generation no longer runs here, the target has no free
+            capacity, or the engine has asked for a pause.
         BackendCutError
             The engine does not answer.
         """
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -40,7 +40,9 @@
         self._settings = settings
         self._stop_seconds = settings.limits.stop_seconds
         self._metrics = Metrics()
-        self._engine = HttpMovableEngine(settings.endpoint.engine)
+        self._engine = HttpMovableEngine(
+            settings.endpoint.engine, SystemClock()
+        )
         location = EngineLocation(
             settings.endpoint.service, settings.failure_domain
         )
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -14,9 +14,16 @@
 from yarl import URL
 
 from ..backendstate import Backend, EngineState
+from ..backpressure import AnswerNotice, Backpressure
 from ..clock import Clock
 from ..directcalls import BackendAttempt, DirectCall, Header
-from ..errors import BackendCutError, ErrorKind, MisdirectedError, NotRunError
+from ..errors import (
+    BackendCutError,
+    BackendPausedError,
+    ErrorKind,
+    MisdirectedError,
+    NotRunError,
+)
 from ..httpclient import prevent_resend
 from ..movableengine import EngineReading
 from ..moves import EngineRun
@@ -42,6 +49,10 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
+# Refusals whose ``RETRY_AFTER`` header asks for a pause.
+_PAUSING_STATUSES = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # aiohttp adds these headers where a caller sent none.
 _LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
@@ -184,6 +195,7 @@
                 self._report_rate_limit(
                     call, backend_attempt.backend, response, sent_at
                 )
+                self._heed_notice(backend_attempt.backend, response)
                 _check_response(call, response)
                 yield _BackendResponse(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -192,6 +204,16 @@
         except (aiohttp.ClientError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
 
+    def _heed_notice(
+        self, backend: Backend, response: aiohttp.ClientResponse
+    ) -> None:
+        # Another back end gave this answer.
+        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        backend.backpressure.heed(
+            backend.name, _parse_notice(response), self._clock.monotonic()
+        )
+
     def _report_rate_limit(
         self,
         call: DirectCall,
@@ -273,20 +295,25 @@
     status: int
     body: bytes
     engine_name: str
+    notice: AnswerNotice
 
 
 class HttpMovableEngine:
     """Client for the control interface of the engine on this VM."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: Clock) -> None:
         """Open no session before the first request.
 
         Parameters
         ----------
         address
             The engine's address as ``host:port``.
+        clock
+            Times the pauses that the engine asks for.
         """
         self._address = address
+        self._clock = clock
+        self._backpressure = Backpressure()
         self._lazy_session: aiohttp.ClientSession | None = None
 
     @property
@@ -312,7 +339,11 @@
         except (msgspec.DecodeError, IndexError) as error:
             raise BackendCutError(str(error)) from error
         leaves_in = report.leaves_ms
-        leaving = leaves_in is not None or report.state != 'ready'
+        leaving = (
+            leaves_in is not None
+            or report.state != 'ready'
+            or response.notice.leaving
+        )
         return EngineReading(
             state=EngineState(
                 running=report.running,
@@ -373,19 +404,33 @@
     ) -> _EngineResponse:
         if self._lazy_session is None:
             self._lazy_session = aiohttp.ClientSession()
+        self._require_no_pause()
         try:
             async with asyncio.timeout(seconds):
                 async with self._lazy_session.request(
                     method, f'http://{self._address}{path}', json=payload
                 ) as response:
-                    return _EngineResponse(
-                        response.status,
-                        await response.read(),
-                        response.headers.get(headers.BACKEND, ''),
-                    )
+                    return await self._read_response(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
 
+    def _require_no_pause(self) -> None:
+        left = self._backpressure.seconds_until_call(self._clock.monotonic())
+        if left:
+            raise BackendPausedError(ErrorKind.overloaded, retry_seconds=left)
+
+    async def _read_response(
+        self, response: aiohttp.ClientResponse
+    ) -> _EngineResponse:
+        notice = _parse_notice(response)
+        self._backpressure.heed(self._address, notice, self._clock.monotonic())
+        return _EngineResponse(
+            response.status,
+            await response.read(),
+            response.headers.get(headers.BACKEND, ''),
+            notice,
+        )
+
 
 def _parse_run(row: list[msgspec.Raw]) -> EngineRun:
     name, tokens, events = row[:3]
@@ -439,15 +484,21 @@
         raise NotRunError(
             ErrorKind.overloaded,
             f'status {response.status}',
-            retry_seconds=_parse_retry_after(response) or 0,
+            retry_seconds=_parse_notice(response).pause_seconds,
         )
     fault = _find_response_fault(call, response)
     if fault:
         raise BackendCutError(fault)
 
 
-def _parse_retry_after(response: aiohttp.ClientResponse) -> float | None:
-    return headers.parse_quantity(response.headers.get(headers.RETRY_AFTER, ''))
+def _parse_notice(response: aiohttp.ClientResponse) -> AnswerNotice:
+    received = response.headers
+    pause = 0.0
+    if response.status in _PAUSING_STATUSES:
+        text = received.get(headers.RETRY_AFTER, '')
+        pause = headers.parse_quantity(text) or 0
+    leaving = received.get(headers.LEAVING, '').strip()
+    return AnswerNotice(pause, leaving not in {'', '0'})
 
 
 def _is_mismatched(call: DirectCall, response: aiohttp.ClientResponse) -> bool:
--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -11,6 +11,7 @@
     'DEADLINE',
     'EXPECTED_BACKEND',
     'LAST_EVENT_ID',
+    'LEAVING',
     'MOVED_FROM',
     'NOT_EXECUTED',
     'ORGANISATION',
@@ -48,6 +49,8 @@
 # Seconds for which a back end that refuses a call wants no further ones from
 # this process.
 RETRY_AFTER = 'Retry-After'
+# ``1`` in all answers of a back end that is about to leave.
+LEAVING = 'Server-Leaving'
 # Tokens of the prompt and the maximum for the answer, separated by a comma.
 TOKEN_USAGE = 'Primrosewood-Token-Usage'
 # The caller's estimate of the answer's tokens.
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -281,7 +281,7 @@
             why=error,
         )
         self._deps.metrics.count('resumed')
-        backend = self._placement.find_address(progress, notice.target)
+        backend = await self._placement.find_resuming(progress, notice.target)
         return BackendAttempt(
             backend,
             Resumption(notice.source, notice.handle, last_event),
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -9,7 +9,12 @@
 from primrosewood.backendstate import EngineState
 from primrosewood.clock import SystemClock
 from primrosewood.enginekeeper import EngineKeeper
-from primrosewood.errors import BackendCutError, ErrorKind, NotRunError
+from primrosewood.errors import (
+    BackendCutError,
+    BackendPausedError,
+    ErrorKind,
+    NotRunError,
+)
 from primrosewood.metrics import Metrics
 from primrosewood.movableengine import EngineLocation, EngineReading
 from primrosewood.moves import EngineRun
@@ -61,12 +66,15 @@
         self.runs = list(runs)
         self.leaving = False
         self.gone = False
+        self.paused = False
         self.copies = []
         self.failures = []
 
     async def read(self):
         if self.gone:
             raise BackendCutError('gone')
+        if self.paused:
+            raise BackendPausedError(ErrorKind.overloaded, retry_seconds=3)
         state = EngineState(total_tokens=30_000, leaving=self.leaving)
         leaves_in = 2.0 if self.leaving else None
         return EngineReading(state, tuple(self.runs), leaves_in)
@@ -275,6 +283,20 @@
         )
         self.assertFalse(self.keeper.needed)
 
+    async def test_paused_engine_is_not_reported_as_lost(self):
+        """Guards against streams given up because their engine rests."""
+        await self.wait_for(lambda: self.keeper.last_report)
+        self.engine.paused = True
+        self.server.broadcasts.clear()
+        await self.wait_for(
+            lambda: any(
+                isinstance(each, wire.EngineReport)
+                for each in self.server.broadcasts
+            )
+        )
+        self.assertFalse(self.keeper.last_report.leaving)
+        self.assertEqual([], self.server.moves())
+
     async def test_full_engine_that_cannot_be_identified(self):
         """An engine restarts and fills up at once.
 
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -6,6 +6,7 @@
 from primrosewood import gen_wire as wire
 from primrosewood.backendset import BackendSet
 from primrosewood.backendstate import BackendRecord
+from primrosewood.backpressure import AnswerNotice
 from primrosewood.clock import SystemClock
 from primrosewood.engineview import EngineView
 from primrosewood.moves import MoveNotices
@@ -148,6 +149,21 @@
         self.report(0, '10.1.1.5:80')
         self.assertEqual(['10.1.1.5:80'], self.receiving())
 
+    def test_paused_and_leaving_engines_are_no_targets(self):
+        """Guards against copies to engines that take no calls."""
+        now = SystemClock().monotonic()
+        for number, notice in (
+            (1, AnswerNotice(pause_seconds=3)),
+            (2, AnswerNotice(leaving=True)),
+        ):
+            engine = self.backends.find(f'i-{number}')
+            engine.backpressure.heed(engine.name, notice, now)
+        offered = {
+            each.address for each in self.view.engines_with_capacity('s')
+        }
+        self.assertEqual(_ENGINES - 2, len(offered))
+        self.assertFalse({'10.1.1.1:80', '10.1.1.2:80'} & offered)
+
     def test_engine_that_is_gone_marks_no_target(self):
         """The last report of an engine stays; its copy has ended with it."""
         with mock.patch('primrosewood.engineview._COPY_REPORT_SECONDS', 0):
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -5,12 +5,18 @@
 import struct
 import unittest
 from contextlib import suppress
+from functools import partial
 
 from primrosewood.backendstate import Backend, BackendRecord
 from primrosewood.clock import SystemClock
 from primrosewood.directcalls import BackendAttempt, DirectCall, Resumption
-from primrosewood.errors import BackendCutError, NotRunError
-from primrosewood.platform.engines import HttpTransport
+from primrosewood.errors import (
+    BackendCutError,
+    BackendPausedError,
+    NotRunError,
+)
+from primrosewood.moves import EngineRun
+from primrosewood.platform.engines import HttpMovableEngine, HttpTransport
 from primrosewood.routes import Route, RouteKind, Target
 from primrosewood.sharedlimits import ColdLimit, EntryCount
 
@@ -23,19 +29,13 @@
 ROUTE = Route('r', 'h', '/', RouteKind.idempotent, (Target('s'),), 2, 0.2)
 
 
-class TransportTest(unittest.IsolatedAsyncioTestCase):
-    """Outcome of one call for each kind of response."""
+class _ServerTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests against servers that send fixed bytes."""
 
     async def asyncSetUp(self):
-        self.rate_limits = []
-        self.transport = HttpTransport(SystemClock(), self.on_rate_limit)
-        self.addAsyncCleanup(self.transport.close)
         self.received = []
         self.connections = 0
 
-    def on_rate_limit(self, _backend, rate, _sent_at):
-        self.rate_limits.append(rate)
-
     async def serve(self, response, reset=False):
         """Start a server that sends fixed bytes; return its address."""
 
@@ -62,9 +62,22 @@
         port = server.sockets[0].getsockname()[1]
         return f'127.0.0.1:{port}'
 
+
+class TransportTest(_ServerTestCase):
+    """Outcome of one call for each kind of response."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.rate_limits = []
+        self.transport = HttpTransport(SystemClock(), self.on_rate_limit)
+        self.addAsyncCleanup(self.transport.close)
+
+    def on_rate_limit(self, _backend, rate, _sent_at):
+        self.rate_limits.append(rate)
+
     async def fetch(self, address, resumption=None, **fields):
         record = BackendRecord('i-1', 's', address, 'd1', 8)
-        backend = Backend(record, ColdLimit(EntryCount(1)))
+        backend = self.backend = Backend(record, ColdLimit(EntryCount(1)))
         now = SystemClock().monotonic()
         call = DirectCall(
             name='ab12',
@@ -162,6 +175,35 @@
             with self.subTest(head):
                 self.assertEqual(expected, self.rate_limits)
 
+    async def test_notices_in_answers(self):
+        """Guards against pauses and leaves that an answer states in vain."""
+        success = STATUS_LINE + RESPONSE_HEADERS
+        refused = b'HTTP/1.1 503 Busy\r\nPrimrosewood-Not-Executed: 1\r\n'
+        failure = b'HTTP/1.1 500 Failed\r\n' + RESPONSE_HEADERS
+        misdirected = b'HTTP/1.1 421 Misdirected Request\r\n'
+        pause = b'Retry-After: 2.5\r\n'
+        leaving = b'Server-Leaving: 1\r\n'
+        for head, paused, left in (
+            (refused + pause, True, False),
+            (b'HTTP/1.1 503 Busy\r\n' + pause, True, False),
+            (b'HTTP/1.1 429 Too many\r\n' + pause, True, False),
+            (refused + b'Retry-After: soon\r\n', False, False),
+            (refused + b'Retry-After: inf\r\n', False, False),
+            (success + pause, False, False),
+            (success + leaving, False, True),
+            (failure + leaving, False, True),
+            (refused + pause + leaving, True, True),
+            (success + b'Server-Leaving: 0\r\n', False, False),
+            (misdirected + pause + leaving, False, False),
+        ):
+            address = await self.serve(head + LENGTH_HEADER + b'whole')
+            with suppress(BackendCutError, NotRunError):
+                await self.fetch(address)
+            seconds = self.backend.seconds_until_call(SystemClock().monotonic())
+            with self.subTest(head):
+                self.assertAlmostEqual(2.5 if paused else 0, seconds, delta=0.2)
+                self.assertEqual(left, self.backend.stopping)
+
     async def test_connection_refused(self):
         """Nothing was written, so the call certainly did not run."""
         with self.assertRaises(NotRunError):
@@ -204,3 +246,44 @@
         self.assertIn('Last-Event-Id: 12\r\n', head)
         deadline = head.partition('Primrosewood-Deadline-Ms: ')[2]
         self.assertLessEqual(int(deadline.partition('\r')[0]), 1000)
+
+
+class MovableEngineTest(_ServerTestCase):
+    """Requests to the control interface of the engine on the same VM."""
+
+    async def serve_engine(self, response):
+        engine = HttpMovableEngine(await self.serve(response), SystemClock())
+        self.addAsyncCleanup(engine.close)
+        return engine
+
+    async def test_nothing_is_sent_while_the_engine_rests(self):
+        """Guards against reports, health checks and copies that ignore it."""
+        engine = await self.serve_engine(
+            b'HTTP/1.1 503 Busy\r\nRetry-After: 5\r\n'
+            b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+        )
+        with self.assertRaises(BackendCutError):
+            await engine.identify()
+        self.assertEqual(1, self.connections)
+        run = EngineRun('ab12', 1000, 5)
+        for request in (
+            engine.read,
+            engine.identify,
+            partial(engine.copy, run, '10.0.0.2:80', last=False),
+        ):
+            with self.assertRaises(BackendPausedError) as caught:
+                await request()
+            self.assertGreater(caught.exception.retry_seconds, 4)
+        self.assertEqual(1, self.connections)
+
+    async def test_report_with_the_header_of_a_leaving_engine(self):
+        """Guards against a leave that only the head of an answer states."""
+        body = b'{"state":"ready"}'
+        engine = await self.serve_engine(
+            STATUS_LINE
+            + b'Server-Leaving: 1\r\nConnection: close\r\n'
+            + b'Content-Length: %d\r\n\r\n' % len(body)
+            + body
+        )
+        reading = await engine.read()
+        self.assertTrue(reading.state.leaving)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 from primrosewood.backendset import BackendSet
 from primrosewood.backendstate import BackendRecord
+from primrosewood.backpressure import AnswerNotice
 from primrosewood.balancing import LeastCostBalancer
 from primrosewood.callplacement import (
     CallPlacement,
@@ -317,6 +318,136 @@
         self.assertEqual([], self.transport.backend_attempts)
 
 
+class PausedBackendTest(_RelayTestCase):
+    """Calls while back ends have asked for a pause or said they leave."""
+
+    def pause(self, seconds, *names):
+        for name in names:
+            self.backends.find(name).backpressure.heed(
+                name,
+                AnswerNotice(pause_seconds=seconds),
+                self.clock.monotonic(),
+            )
+
+    def list_called(self):
+        return [
+            backend_attempt.backend.name
+            for backend_attempt in self.transport.backend_attempts
+        ]
+
+    async def test_first_sends_and_repeats_pass_by_a_paused_back_end(self):
+        """Guards against repeats that do not keep to a pause."""
+        self.pause(5, 'e2')
+        for _ in range(20):
+            self.sink = Sink()
+            await self.answer(
+                self.make_call(RouteKind.idempotent),
+                REFUSED,
+                ScriptedReply(b'a'),
+            )
+        self.assertNotIn('e2', self.list_called())
+
+    async def test_all_are_paused(self):
+        """Guards against a refusal with a time at which all still rest."""
+        self.pause(3, 'e1', 'e2')
+        self.pause(2, 'e3')
+        with self.assertRaises(RequestFailedError) as caught:
+            await self.answer(self.make_call(RouteKind.non_idempotent))
+        self.assertEqual(ErrorKind.overloaded, caught.exception.kind)
+        self.assertGreaterEqual(caught.exception.retry_seconds, 1.9)
+        self.assertLess(caught.exception.retry_seconds, 2.6)
+        self.assertEqual([], self.list_called())
+
+    async def test_refusal_that_pauses_the_last_back_end(self):
+        """Guards against the default time where the refusal states one."""
+        self.pause(3, 'e1', 'e2')
+        call = self.make_call(RouteKind.non_idempotent)
+
+        @asynccontextmanager
+        async def send(_call, _backend_attempt):
+            self.pause(2, 'e3')
+            raise REFUSED
+            yield
+
+        self.transport.send = send
+        with self.assertRaises(RequestFailedError) as caught:
+            await self.answer(call)
+        self.assertGreaterEqual(caught.exception.retry_seconds, 1.9)
+
+    async def test_no_repeat_is_left_while_all_are_paused(self):
+        self.pause(3, 'e1', 'e2')
+        call = self.make_call(RouteKind.non_idempotent)
+
+        @asynccontextmanager
+        async def send(_call, _backend_attempt):
+            self.pause(2, 'e3')
+            raise REFUSED
+            yield
+
+        self.transport.send = send
+        with (
+            mock.patch('primrosewood.callplacement._MAX_SENDS', 1),
+            self.assertRaises(RequestFailedError) as caught,
+        ):
+            await self.answer(call)
+        self.assertGreaterEqual(caught.exception.retry_seconds, 1.9)
+
+    async def resume_at(self, target, seconds=5):
+        """Answer a stream that is moved; return its seconds."""
+        call = self.make_call(RouteKind.streaming, seconds)
+        attempts = self.transport.backend_attempts
+
+        @asynccontextmanager
+        async def send(call, backend_attempt):
+            attempts.append(backend_attempt)
+            if backend_attempt.resumption is None:
+                self.notices.post(MoveNotice('ab12', 'e1:80', 'h', target))
+                yield ScriptedReply(make_event(1), CUT)
+            else:
+                yield ScriptedReply(make_event(2))
+
+        self.transport.send = send
+        self.sink = Sink()
+        since = self.clock.monotonic()
+        await self.relay.answer(call, self.sink)
+        self.assertEqual(make_event(1) + make_event(2), self.sink.body)
+        return self.clock.monotonic() - since
+
+    async def test_resumptions_wait_for_the_end_of_a_pause(self):
+        """Guards against streams that are moved to a paused engine at once.
+
+        One goes on, as its caller waits for the next event and no other engine
+        has the copy; the second one waits.
+        """
+        self.pause(0.6, 'e2')
+        self.assertLess(await self.resume_at('e2:80'), 0.3)
+        self.assertGreater(await self.resume_at('e2:80'), 0.3)
+
+    async def test_resumption_that_cannot_wait_fails_at_once(self):
+        self.pause(30, 'e2')
+        await self.resume_at('e2:80')
+        since = self.clock.monotonic()
+        with self.assertRaises(RequestFailedError):
+            await self.resume_at('e2:80')
+        self.assertLess(self.clock.monotonic() - since, 0.3)
+
+    async def test_resumption_at_an_engine_that_left_before_the_call(self):
+        """Guards against late calls to an engine bound to its address."""
+        target = self.backends.find('e2')
+        target.backpressure.heed('e2', AnswerNotice(leaving=True), 0)
+        with self.assertRaises(RequestFailedError):
+            await self.resume_at('e2:80')
+        self.assertNotIn('e2', self.list_called())
+
+    async def test_resumption_at_an_engine_that_leaves_since_the_call(self):
+        target = self.backends.find('e2')
+        target.backpressure.heed(
+            'e2', AnswerNotice(leaving=True), self.clock.monotonic() + 1
+        )
+        await self.resume_at('e2:80')
+        self.assertEqual('e2', self.list_called()[-1])
+
+
 class StreamTest(_RelayTestCase):
     """Streams, and their recovery when engines leave or fail."""
 
