Keep calls of old engines that rest from a version on trial

A service with an order in force chose among the versions after the back ends that take no call just now had been left out. Were all old ones resting, or at the rate they name, all calls went to the version on trial, past its share: 'all old ones gone' and 'none free now' looked the same. Rollout.select is now told of both, and such a call is refused.

Found by reading, while looking for limits that a rest could push calls past. The test failed on the code before (select took no such argument, and returned the new engine for each of 100 calls when called without); 56 tests of roll-outs and of the relay pass.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -148,9 +148,6 @@
         if not candidates:
             raise self._make_refusal(progress, now)
         context = self._make_context(call, now)
-        candidates = self._select_version(call, candidates)
-        if not candidates:
-            raise self.make_failure(progress, ErrorKind.no_endpoint)
         chosen = self._deps.balancer.choose(candidates, context)
         progress.alternatives = len(candidates) - 1
         expected = self._check_first_event(progress, chosen, context)
@@ -405,14 +402,19 @@
 
     def _list_candidates(
         self, progress: CallProgress, now: float
-    ) -> list[Backend]:
-        return [
-            backend
-            for backend in self._deps.backends.usable(progress.call.service)
-            if backend.name not in progress.failed_backends
-            and not backend.seconds_until_call(now)
-            and self._has_cold_capacity(backend, now)
-        ]
+    ) -> Sequence[Backend]:
+        service = progress.call.service
+        available: list[Backend] = []
+        unavailable: list[Backend] = []
+        for backend in self._deps.backends.usable(service):
+            if backend.name in progress.failed_backends:
+                continue
+            ready = not backend.seconds_until_call(now)
+            ready = ready and self._has_cold_capacity(backend, now)
+            (available if ready else unavailable).append(backend)
+        if self._deps.rollouts is None or not available:
+            return available
+        return self._deps.rollouts.select(service, available, unavailable)
 
     def _check_first_event(
         self, progress: CallProgress, chosen: Backend, context: PlacementContext
@@ -444,14 +446,6 @@
             progress, ErrorKind.overloaded, retry_seconds=wait - left
         )
 
-    def _select_version(
-        self, call: DirectCall, candidates: Sequence[Backend]
-    ) -> Sequence[Backend]:
-        rollouts = self._deps.rollouts
-        if rollouts is None:
-            return candidates
-        return rollouts.select(call.service, candidates)
-
     def _make_refusal(
         self, progress: CallProgress, now: float
     ) -> RequestFailedError:
--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -136,13 +136,28 @@
         self._adopt(service)
 
     def select(
-        self, service: str, backends: Sequence[Backend]
+        self,
+        service: str,
+        backends: Sequence[Backend],
+        unavailable: Sequence[Backend] = (),
     ) -> Sequence[Backend]:
-        """Return the back ends among which a call may choose."""
+        """Return the back ends among which a call may choose.
+
+        Parameters
+        ----------
+        service
+            Name of their service.
+        backends
+            Back ends that take the call now.
+        unavailable
+            Back ends that will take calls again, but not now.
+        """
         rollout = self._rollouts.get(service)
         if rollout is None:
             return backends
-        return rollout.select(backends, self._deps.clock.monotonic())
+        return rollout.select(
+            backends, unavailable, self._deps.clock.monotonic()
+        )
 
     def may_receive(self, backend: Backend) -> bool:
         """Return whether generations may be moved to a back end."""
--- a/primrosewood/rollouts.py
+++ b/primrosewood/rollouts.py
@@ -165,11 +165,25 @@
         """Return whether the old engines get no more calls."""
         return self.share(now) >= 1
 
-    def select(self, backends: Sequence[Backend], now: float) -> list[Backend]:
+    def select(
+        self,
+        backends: Sequence[Backend],
+        unavailable: Sequence[Backend],
+        now: float,
+    ) -> list[Backend]:
         """Return the back ends among which one call may choose.
 
         A service whose old back ends are all gone is left to the new ones,
         unless these are known to be bad.
+
+        Parameters
+        ----------
+        backends
+            Back ends that take the call now.
+        unavailable
+            Back ends that will take calls again, but not now.
+        now
+            Monotonic seconds.
         """
         new = [backend for backend in backends if self.is_new(backend)]
         old = [backend for backend in backends if not self.is_new(backend)]
@@ -180,7 +194,9 @@
         if wants_new and new:
             self._credit -= 1
             return new
-        return old or new
+        if old or not all(map(self.is_new, unavailable)):
+            return old
+        return new
 
     def may_receive(self, backend: Backend, now: float) -> bool:
         """Return whether generations may be moved to a back end."""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -334,6 +334,29 @@
 
         return run_virtual(select())
 
+    def test_new_version_does_not_stand_in_for_a_resting_old_engine(self):
+        """Guards against a canary that gets all calls of engines that rest."""
+        self.apply()
+        old = self.backends.find('old-0')
+        new = self.backends.find('new-1')
+
+        async def select():
+            return [
+                self.control.select('s', [new], [old]) for _call in range(100)
+            ]
+
+        selections = run_virtual(select())
+        self.assertLessEqual(sum(map(bool, selections)), 10)
+
+    def test_new_version_stands_in_for_old_engines_that_are_gone(self):
+        self.apply()
+        new = self.backends.find('new-1')
+
+        async def select():
+            return self.control.select('s', [new])
+
+        self.assertEqual([new], run_virtual(select()))
+
     def apply(self, *statuses, revision=10):
         async def apply():
             order = RolloutOrder('s', 'v2', _SECONDS, revision)
