Keep to a pause on the product's own path to back ends too

The same class of fault as on the users' platform, found by looking for other clients that decode a refusal: HttpEngine turned 429 and 503 into 'refused, come back in a second' whatever the back end asked for, HttpService passed a 503 to the caller and called again at once, and an endpoint admitted what waited in its queue one after the other against an engine that wanted nothing.

Change: the clients keep a Backpressure for each back end; nothing is sent in a pause: generations, resumes, load reports and calls raise BackendPausedError with the seconds left, a cancel waits for the end. The endpoint refuses offers and what waits in its queue with that time, as other endpoints may be free, and resumes a cut generation after it. Parsing of Retry-After moves to httpclient, which both kinds of clients use.

Open: an entry of this path tells its caller the time of the last refusal, not the earliest of several.

--- a/primrosewood/backends.py
+++ b/primrosewood/backends.py
@@ -1,5 +1,6 @@
 """HTTP clients of the back ends: model engines and plain services."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -8,15 +9,18 @@
 import aiohttp
 import msgspec
 
+from .backpressure import AnswerNotice, Backpressure
+from .clock import SystemClock
 from .errors import (
     BackendCutError,
+    BackendPausedError,
     ErrorKind,
     NotRunError,
     PrimrosewoodError,
     WireError,
 )
 from .events import EventSplitter
-from .httpclient import prevent_resend
+from .httpclient import parse_pause, prevent_resend
 
 __all__ = (
     'CallResult',
@@ -141,6 +145,8 @@
     def __init__(self, url: str) -> None:
         """Prepare; the session is opened by the first call."""
         self._url = url.rstrip('/')
+        self._clock = SystemClock()
+        self._backpressure = Backpressure()
         self._lazy_session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -148,6 +154,13 @@
         if self._lazy_session is not None:
             await self._lazy_session.close()
 
+    def _require_no_pause(self) -> None:
+        self._backpressure.require_no_pause(self._clock.monotonic())
+
+    def _heed(self, response: aiohttp.ClientResponse) -> None:
+        notice = AnswerNotice(parse_pause(response))
+        self._backpressure.heed(self._url, notice, self._clock.monotonic())
+
     def _session(self) -> aiohttp.ClientSession:
         session = self._lazy_session
         if session is None:
@@ -177,6 +190,8 @@
         ------
         NotRunError
             The engine refused the call, or no connection was made.
+        BackendPausedError
+            The engine has asked for a pause.
         BackendCutError
             The connection broke after the call was written.
         """
@@ -203,19 +218,26 @@
             The engine does not have the stream.
         BackendCutError
             The engine cannot be reached, or the connection broke.
+        BackendPausedError
+            The engine has asked for a pause.
         """
         path = f'/v1/streams/{generation}?offset={offset}'
         try:
             async for token in self._stream('GET', path, None):
                 yield token
+        except BackendPausedError:
+            raise
         except NotRunError as error:
             raise BackendCutError(str(error)) from error
 
     async def cancel(self, generation: str) -> None:
-        """Stop a generation; errors are ignored.
+        """Stop a generation, after a pause if the engine asked for one.
 
-        An engine that is gone has stopped the generation with it.
+        Errors are ignored: an engine that is gone has stopped the generation
+        with it.
         """
+        now = self._clock.monotonic()
+        await asyncio.sleep(self._backpressure.seconds_until_call(now))
         try:
             async with self._session().delete(
                 f'{self._url}/v1/streams/{generation}',
@@ -232,12 +254,16 @@
         ------
         BackendCutError
             The engine does not answer.
+        BackendPausedError
+            The engine has asked for a pause.
         """
+        self._require_no_pause()
         try:
             async with self._session().get(
                 f'{self._url}/load',
                 timeout=aiohttp.ClientTimeout(total=_CONTROL_TIMEOUT_SECONDS),
             ) as response:
+                self._heed(response)
                 return msgspec.json.decode(
                     await response.read(), type=EngineLoad
                 )
@@ -251,12 +277,13 @@
     async def _stream(
         self, method: str, path: str, body: Any
     ) -> AsyncIterator[EngineToken]:
-        session = self._session()
+        self._require_no_pause()
         try:
-            async with session.request(
+            async with self._session().request(
                 method, f'{self._url}{path}', json=body
             ) as response:
-                _check_status(response.status)
+                self._heed(response)
+                _check_status(response)
                 async for token in _read_tokens(response):
                     yield token
         except aiohttp.ClientConnectorError as error:
@@ -276,9 +303,12 @@
         ------
         NotRunError
             No connection was made.
+        BackendPausedError
+            The service has asked for a pause.
         BackendCutError
             The connection broke after the call was written.
         """
+        self._require_no_pause()
         headers = {'X-Attempt': call.attempt}
         if call.content_type:
             headers['Content-Type'] = call.content_type
@@ -290,6 +320,7 @@
                 headers=headers,
                 allow_redirects=False,
             ) as response:
+                self._heed(response)
                 return CallResult(
                     response.status,
                     response.headers.get('Content-Type', ''),
@@ -301,7 +332,11 @@
             raise BackendCutError(type(error).__name__) from error
 
 
-def _check_status(status: int) -> None:
+def _check_status(response: aiohttp.ClientResponse) -> None:
+    status = response.status
+    pause = parse_pause(response)
+    if pause:
+        raise BackendPausedError(ErrorKind.overloaded, retry_seconds=pause)
     if status in _REFUSED_STATUSES:
         raise NotRunError(ErrorKind.overloaded, retry_seconds=1)
     if status == HTTPStatus.NOT_FOUND:
--- a/primrosewood/backpressure.py
+++ b/primrosewood/backpressure.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .errors import BackendPausedError, ErrorKind
 from .logs import log_decision
 
 __all__ = ('AnswerNotice', 'Backpressure')
@@ -57,6 +58,20 @@
         """Return the seconds until the pause ends, 0 without one."""
         return max(0, self.paused_until - now)
 
+    def require_no_pause(self, now: float) -> None:
+        """Raise an error with the seconds that are left of a pause.
+
+        Raises
+        ------
+        BackendPausedError
+            The back end wants no calls.
+        """
+        seconds = self.seconds_until_call(now)
+        if seconds:
+            raise BackendPausedError(
+                ErrorKind.overloaded, retry_seconds=seconds
+            )
+
     def allow_exempt_call(self, now: float) -> bool:
         """Return whether a call that cannot go elsewhere may be made now."""
         if now >= self.paused_until:
--- a/primrosewood/endpoint.py
+++ b/primrosewood/endpoint.py
@@ -10,7 +10,7 @@
 from .backends import HttpEngine, HttpService
 from .clock import SystemClock
 from .config import ProcessConfig, make_tls_contexts
-from .errors import BackendCutError
+from .errors import BackendCutError, BackendPausedError
 from .etcd import EtcdKeyValue
 from .gen_stored import MemberRecord
 from .identity import make_identifier
@@ -162,7 +162,7 @@
                 continue
             try:
                 load = await self._engine.read_load()
-            except BackendCutError as error:
+            except (BackendCutError, BackendPausedError) as error:
                 log_event('engine_silent', 'WARNING', why=error)
             else:
                 self._worker.update_engine_load(load)
--- a/primrosewood/errors.py
+++ b/primrosewood/errors.py
@@ -308,7 +308,7 @@
 
 
 class BackendPausedError(NotRunError):
-    """A back end has asked for no calls for some time; nothing was sent."""
+    """A back end wants no calls for some time, so that this one did not run."""
 
 
 class MisdirectedError(NotRunError):
--- a/primrosewood/httpclient.py
+++ b/primrosewood/httpclient.py
@@ -1,10 +1,17 @@
-"""Middleware shared by all HTTP clients of the system."""
+"""What all HTTP clients of the system share."""
+
+import math
+from http import HTTPStatus
 
 import aiohttp
 
 from .errors import BackendCutError
 
-__all__ = ('prevent_resend',)
+__all__ = ('parse_pause', 'parse_quantity', 'prevent_resend')
+
+_PAUSING_STATUSES = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
 
 
 async def prevent_resend(
@@ -29,3 +36,22 @@
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         raise BackendCutError(type(error).__name__) from error
+
+
+def parse_pause(response: aiohttp.ClientResponse) -> float:
+    """Return the seconds for which a refusal asks for no calls, 0 for none.
+
+    A ``Retry-After`` header with a date is ignored, as clocks differ.
+    """
+    if response.status not in _PAUSING_STATUSES:
+        return 0
+    return parse_quantity(response.headers.get('Retry-After', '')) or 0
+
+
+def parse_quantity(text: str) -> float | None:
+    """Return a finite number of at least 0, None for any other text."""
+    try:
+        quantity = float(text)
+    except ValueError:
+        return None
+    return quantity if math.isfinite(quantity) and quantity >= 0 else None
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -19,12 +19,11 @@
 from ..directcalls import BackendAttempt, DirectCall, Header
 from ..errors import (
     BackendCutError,
-    BackendPausedError,
     ErrorKind,
     MisdirectedError,
     NotRunError,
 )
-from ..httpclient import prevent_resend
+from ..httpclient import parse_pause, parse_quantity, prevent_resend
 from ..movableengine import EngineReading
 from ..moves import EngineRun
 from . import headers
@@ -49,10 +48,6 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
-# Refusals whose ``RETRY_AFTER`` header asks for a pause.
-_PAUSING_STATUSES = frozenset(
-    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
-)
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # aiohttp adds these headers where a caller sent none.
 _LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
@@ -224,7 +219,7 @@
         if _is_mismatched(call, response):
             return
         text = response.headers.get(headers.RATE_LIMIT, '')
-        rate = headers.parse_quantity(text)
+        rate = parse_quantity(text)
         # Only a valid success without the header shows that there is no limit;
         # refusals and failures may leave it out.
         valid_success = (
@@ -404,7 +399,7 @@
     ) -> _EngineResponse:
         if self._lazy_session is None:
             self._lazy_session = aiohttp.ClientSession()
-        self._require_no_pause()
+        self._backpressure.require_no_pause(self._clock.monotonic())
         try:
             async with asyncio.timeout(seconds):
                 async with self._lazy_session.request(
@@ -414,11 +409,6 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
 
-    def _require_no_pause(self) -> None:
-        left = self._backpressure.seconds_until_call(self._clock.monotonic())
-        if left:
-            raise BackendPausedError(ErrorKind.overloaded, retry_seconds=left)
-
     async def _read_response(
         self, response: aiohttp.ClientResponse
     ) -> _EngineResponse:
@@ -492,13 +482,8 @@
 
 
 def _parse_notice(response: aiohttp.ClientResponse) -> AnswerNotice:
-    received = response.headers
-    pause = 0.0
-    if response.status in _PAUSING_STATUSES:
-        text = received.get(headers.RETRY_AFTER, '')
-        pause = headers.parse_quantity(text) or 0
-    leaving = received.get(headers.LEAVING, '').strip()
-    return AnswerNotice(pause, leaving not in {'', '0'})
+    leaving = response.headers.get(headers.LEAVING, '').strip()
+    return AnswerNotice(parse_pause(response), leaving not in {'', '0'})
 
 
 def _is_mismatched(call: DirectCall, response: aiohttp.ClientResponse) -> bool:
--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -1,9 +1,9 @@
 """Names of the platform's headers, and which headers are forwarded."""
 
-import math
 from collections.abc import Iterable
 
 from ..directcalls import GenerationSize, Header
+from ..httpclient import parse_quantity
 
 __all__ = (
     'ATTEMPT_ID',
@@ -17,13 +17,11 @@
     'ORGANISATION',
     'RATE_LIMIT',
     'RESPONSE_SEAL',
-    'RETRY_AFTER',
     'TOKEN_USAGE',
     'drop_hop_by_hop_headers',
     'filter_caller_headers',
     'find_header',
     'parse_deadline',
-    'parse_quantity',
     'parse_size',
 )
 
@@ -46,9 +44,6 @@
 LAST_EVENT_ID = 'Last-Event-Id'
 # Calls per second that the back end accepts from all entries together.
 RATE_LIMIT = 'Server-Limit'
-# Seconds for which a back end that refuses a call wants no further ones from
-# this process.
-RETRY_AFTER = 'Retry-After'
 # ``1`` in all answers of a back end that is about to leave.
 LEAVING = 'Server-Leaving'
 # Tokens of the prompt and the maximum for the answer, separated by a comma.
@@ -134,15 +129,6 @@
     return None if milliseconds is None else milliseconds / _MS_PER_SECOND
 
 
-def parse_quantity(text: str) -> float | None:
-    """Return a finite number of at least 0, None for any other text."""
-    try:
-        quantity = float(text)
-    except ValueError:
-        return None
-    return quantity if math.isfinite(quantity) and quantity >= 0 else None
-
-
 def parse_size(headers: Iterable[Header]) -> GenerationSize | None:
     """Return the tokens that a caller declares, None if absent or invalid.
 
--- a/primrosewood/runner.py
+++ b/primrosewood/runner.py
@@ -14,7 +14,12 @@
     StreamUnknownError,
 )
 from .clock import Clock
-from .errors import BackendCutError, ErrorKind, NotRunError
+from .errors import (
+    BackendCutError,
+    BackendPausedError,
+    ErrorKind,
+    NotRunError,
+)
 from .jobs import CallJob, GenerationJob, Job
 from .logs import log_event
 from .metrics import Metrics
@@ -127,6 +132,8 @@
                 await self._read_tokens(job, tokens)
             except StreamUnknownError:
                 break
+            except BackendPausedError as error:
+                await asyncio.sleep(error.retry_seconds)
             except BackendCutError as error:
                 log_event(
                     'engine_cut',
--- a/primrosewood/worker.py
+++ b/primrosewood/worker.py
@@ -10,9 +10,10 @@
 from .admission import Admission, AdmissionRequest
 from .attempts import AttemptState, AttemptTracker
 from .backends import Engine, EngineLoad, PlainService
+from .backpressure import AnswerNotice, Backpressure
 from .clock import Clock
 from .codec import Message
-from .errors import ErrorKind, NotRunError
+from .errors import BackendPausedError, ErrorKind, NotRunError
 from .gen_process import Limits, Timing
 from .gen_team import Service
 from .identity import digest_prompt_prefix
@@ -125,6 +126,7 @@
         self._generation_count = 0
         self._leaving = False
         self._last_preemptions = 0
+        self._backpressure = Backpressure()
         self.admission = Admission(
             clock, _make_targets(self._service), limits.queue_length, 0
         )
@@ -239,7 +241,11 @@
             self._subscribers.add(job, offer.attempt, link)
             return
         kind = self._find_refusal() or self._find_mismatch(offer)
-        if kind is None:
+        pause = self._backpressure.seconds_until_call(self._clock.monotonic())
+        if kind is None and pause:
+            # Other endpoints can take it at once.
+            self._refuse(offer, link, ErrorKind.overloaded, pause)
+        elif kind is None:
             self._admit(offer, link)
         else:
             self._refuse(offer, link, kind, _MIN_RETRY_SECONDS)
@@ -345,7 +351,9 @@
     def _refuse_queued_attempt(self, attempt: str, kind: ErrorKind) -> None:
         queued = self._queued.pop(attempt)
         retry_after_seconds = max(
-            _MIN_RETRY_SECONDS, self.admission.retry_seconds
+            _MIN_RETRY_SECONDS,
+            self.admission.retry_seconds,
+            self._backpressure.seconds_until_call(self._clock.monotonic()),
         )
         self._refuse_pending_offer(queued, kind, retry_after_seconds)
 
@@ -424,6 +432,13 @@
                 error.retry_seconds,
             )
         self._subscribers.remove_job(job)
+        if isinstance(error, BackendPausedError):
+            self._backpressure.heed(
+                self._identity.name,
+                AnswerNotice(error.retry_seconds),
+                self._clock.monotonic(),
+            )
+            self._refuse_all_queued(ErrorKind.overloaded)
         self._start_waiting()
 
     def _make_admission_request(self, offer: wire.Offer) -> AdmissionRequest:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,7 +10,11 @@
     PlainCall,
     StreamUnknownError,
 )
-from primrosewood.errors import BackendCutError, NotRunError
+from primrosewood.errors import (
+    BackendCutError,
+    BackendPausedError,
+    NotRunError,
+)
 
 _OK = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
@@ -20,6 +24,7 @@
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'Connection: close\r\n\r\n'
 )
+_PAUSE = b'HTTP/1.1 503 Busy\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n'
 _CALL = EngineCall('g-1', 'm', 'prompt', 5)
 
 
@@ -93,6 +98,52 @@
         await service.close()
 
 
+class PauseTest(unittest.IsolatedAsyncioTestCase):
+    """Back ends that refuse calls for some time."""
+
+    async def test_no_call_of_any_kind_to_a_paused_engine(self):
+        """Guards against generations, resumes and reports that ignore it."""
+        server = ScriptedServer([[_PAUSE]])
+        async with server as url:
+            engine = HttpEngine(url)
+            for start in (
+                lambda: anext(engine.generate(_CALL)),
+                lambda: anext(engine.generate(_CALL)),
+                lambda: anext(engine.resume('g-1', 2)),
+                engine.read_load,
+            ):
+                with self.assertRaises(BackendPausedError) as caught:
+                    await start()
+                self.assertGreater(caught.exception.retry_seconds, 4)
+            self.assertEqual(1, server.requests)
+            await engine.close()
+
+    async def test_cancel_waits_for_the_end_of_a_pause(self):
+        server = ScriptedServer([[_PAUSE.replace(b': 5', b': 0.3')]])
+        async with server as url:
+            engine = HttpEngine(url)
+            with self.assertRaises(BackendPausedError):
+                await anext(engine.generate(_CALL))
+            canceling = asyncio.create_task(engine.cancel('g-1'))
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, server.requests)
+            await canceling
+            self.assertEqual(2, server.requests)
+            await engine.close()
+
+    async def test_no_call_to_a_paused_service(self):
+        """Its refusal is the answer of the call; the next one is not made."""
+        server = ScriptedServer([[_PAUSE]])
+        async with server as url:
+            service = HttpService(url)
+            call = PlainCall('a', 'GET', '/x', '', b'')
+            self.assertEqual(503, (await service.call(call)).status)
+            with self.assertRaises(BackendPausedError):
+                await service.call(call)
+            self.assertEqual(1, server.requests)
+            await service.close()
+
+
 class EngineTest(unittest.IsolatedAsyncioTestCase):
     """Token streams of an engine."""
 
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -11,7 +11,12 @@
     StreamUnknownError,
 )
 from primrosewood.clock import SystemClock
-from primrosewood.errors import BackendCutError, ErrorKind, NotRunError
+from primrosewood.errors import (
+    BackendCutError,
+    BackendPausedError,
+    ErrorKind,
+    NotRunError,
+)
 from primrosewood.gen_process import Limits, Timing
 from primrosewood.metrics import Metrics
 from primrosewood.settings import SettingsStore
@@ -44,6 +49,7 @@
         self.calls = []
         self.failure = None
         self.keeps_stream = True
+        self.pauses = []
 
     async def generate(self, call):
         self.calls.append(call.generation)
@@ -56,6 +62,10 @@
         yield EngineToken(2, '', 'stop')
 
     async def resume(self, generation, offset):
+        if self.pauses:
+            raise BackendPausedError(
+                ErrorKind.overloaded, retry_seconds=self.pauses.pop()
+            )
         if not self.keeps_stream:
             raise StreamUnknownError
         for index in range(offset, 2):
@@ -252,6 +262,37 @@
         self.assertEqual(ErrorKind.no_endpoint, self.last_refusal())
         self.assertEqual(0, self.worker.admission.running)
 
+    async def test_offers_while_the_back_end_rests(self):
+        """Guards against work that is queued or sent during a pause."""
+        self.apply_settings(start_running=1, max_running=1)
+        self.backend.failure = BackendPausedError(
+            ErrorKind.overloaded, retry_seconds=3
+        )
+        self.worker.handle(make_offer('a1'), self.link)
+        self.worker.handle(make_offer('a2'), self.link)
+        await self.run_pending_tasks()
+        await self.offer('a3')
+        refusals = {
+            each.attempt: each.retry_ms
+            for each in self.link.sent
+            if isinstance(each, wire.NotRun)
+        }
+        self.assertEqual({'a1', 'a2', 'a3'}, refusals.keys())
+        self.assertGreater(min(refusals.values()), 2900)
+        self.assertEqual(1, len(self.backend.calls))
+
+    async def test_stream_is_resumed_after_a_pause(self):
+        """Guards against a generation given up while its engine rests."""
+        self.apply_settings()
+        self.backend.failure = True
+        self.backend.pauses = [0.05] * 2
+        await self.offer()
+        async with asyncio.timeout(5):
+            while self.worker.admission.running:
+                await asyncio.sleep(0.01)
+        self.assertIsInstance(self.link.sent[-1], wire.Finished)
+        self.assertEqual([], self.backend.pauses)
+
     async def test_engine_lost_the_stream(self):
         self.apply_settings()
         self.backend.failure, self.backend.keeps_stream = True, False
