Let entries read what hundreds of back ends write as they start

Ruled out: other places for the pieces (390 of them over 630 processes still meet by twos and threes, and two are too many), smaller pieces (as many bytes, and more overhead), fewer readers (no entry hears of another one's read within the 40 ms that an update takes).

Change: an update of more than 64 pieces is replaced by an empty one from the newest revision on. Whoever is behind reads by itself then, as after a missed update, and does not send on what it reads. Deployments of the size at hand have no such update; their starts are the same as before.

--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -40,6 +40,9 @@
 # hundreds of engines to hundreds of entries would send megabytes.
 _FORWARDED_BYTES = 32_768
 _MIN_PIECE_BYTES = 512
+# Most pieces of one update.  Of more changes, as hundreds of back ends start at
+# once, the others only hear that they exist, and each reads them by itself.
+_MAX_PIECES = 64
 # Recipient of an update that does not reply to one entry's query.
 _ALL_ENTRIES = ''
 # Compressing smaller values saves too little.
@@ -172,6 +175,8 @@
             _MIN_PIECE_BYTES, _FORWARDED_BYTES // self._entries.count
         )
         groups = _group_by_size(pairs, piece_bytes)
+        if len(groups) > _MAX_PIECES:
+            groups, since = [[]], self._view.newest
         update = self._make_update(_ALL_ENTRIES, since, [])
         update.pieces = len(groups)
         sent = [
