Complete updates whose pieces arrive in turn with those of another one

Two entries that read at the same moment send their pieces over the same processes. The counter kept the pieces of one update only and began anew with each piece of the other, so that neither was ever complete: the entries went on to read by themselves, and to send, as if nobody had told them anything.

Found while tracing the start at the planned size (the fourth of four reads, 0.19 s after the third, was such a one). Pieces are now counted for up to 16 updates. The test failed before ('True not found in []') and passes. Updates of one piece, which are all at the sizes at hand but for a start, are not touched.

--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 
 from msgspec.structs import replace
@@ -43,6 +44,8 @@
 # Most pieces of one update.  Of more changes, as hundreds of back ends start at
 # once, the others only hear that they exist, and each reads them by itself.
 _MAX_PIECES = 64
+# Most incomplete updates whose pieces are counted.
+_MAX_OPEN_UPDATES = 16
 # Recipient of an update that does not reply to one entry's query.
 _ALL_ENTRIES = ''
 # Compressing smaller values saves too little.
@@ -309,21 +312,27 @@
 
 
 class _PieceCounter:
-    """Counts the pieces of the update that is being received."""
+    """Counts the pieces of the updates that are being received."""
 
     def __init__(self) -> None:
         """Start without pieces."""
-        self._update: tuple[str, int, int] = ('', 0, 0)
-        self._received: set[int] = set()
+        self._received: OrderedDict[tuple[str, int, int], set[int]] = (
+            OrderedDict()
+        )
 
     def is_last(self, update: wire.PairsTold) -> bool:
         """Count a piece; return whether the update is complete with it."""
+        if update.pieces <= 1:
+            return True
         identity = (update.reader, update.since, update.newest)
-        if self._update != identity:
-            self._update = identity
-            self._received = set()
-        self._received.add(update.piece)
-        return len(self._received) >= update.pieces
+        received = self._received.setdefault(identity, set())
+        received.add(update.piece)
+        if len(received) >= update.pieces:
+            self._received.pop(identity)
+            return True
+        if len(self._received) > _MAX_OPEN_UPDATES:
+            self._received.popitem(last=False)
+        return False
 
 
 def _group_by_size(
--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -392,6 +392,22 @@
         self.assertEqual({'a': b'1', 'b': b'1'}, self.held['e1'])
         self.assertIn(True, self.availability['e1'])
 
+    async def test_pieces_of_two_updates_in_turn(self):
+        """Guards against two readers whose updates keep each other open."""
+        self.add('e1', _RefusingKeyValue())
+        reader = self.bus.readers['e1']
+        pairs = [wire.StoredPair(key, 5, False, b'1') for key in 'ab']
+        self.availability['e1'].clear()
+        for number, pair in enumerate(pairs):
+            for sender in ('e0', 'e2'):
+                reader.handle(
+                    wire.PairsTold(
+                        '', 0, 5, [pair], sender, pieces=2, piece=number
+                    ),
+                    None,
+                )
+        self.assertIn(True, self.availability['e1'])
+
 
 def make_routes(count):
     """Return a route table whose version is its number of routes."""
