Log when a refused caller may return, and only then

retry_after stood in call_failed for every kind of failure, also for those after which a caller must not come back. 70 tests of the relay, the adapter's clients, explain and losses pass.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -24,6 +24,7 @@
 from .directcalls import BackendAttempt, DirectCall
 from .enginespeed import PromptRateEstimator
 from .errors import (
+    ERROR_RESPONSES,
     BackendCutError,
     ErrorKind,
     MisdirectedError,
@@ -226,13 +227,14 @@
             # The call may have run, so the error must not claim that it did
             # not.
             kind = ErrorKind.outcome_unknown
+        may_return = ERROR_RESPONSES[kind].retry
         log_decision(
             'call_failed',
             request=call.name,
             route=call.route.name,
             kind=kind.value,
             why=error,
-            retry_after=retry_seconds,
+            retry_after=retry_seconds if may_return else None,
             sends=progress.sends,
             last_event=progress.order.last,
             seconds=self._now() - call.arrived,
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -17,12 +17,7 @@
 from ..backpressure import AnswerNotice, Backpressure
 from ..clock import Clock
 from ..directcalls import BackendAttempt, DirectCall, Header
-from ..errors import (
-    BackendCutError,
-    ErrorKind,
-    MisdirectedError,
-    NotRunError,
-)
+from ..errors import BackendCutError, ErrorKind, MisdirectedError, NotRunError
 from ..httpclient import parse_pause, parse_quantity, prevent_resend
 from ..movableengine import EngineReading
 from ..moves import EngineRun
@@ -474,7 +469,7 @@
         raise NotRunError(
             ErrorKind.overloaded,
             f'status {response.status}',
-            retry_seconds=_parse_notice(response).pause_seconds,
+            retry_seconds=parse_pause(response),
         )
     fault = _find_response_fault(call, response)
     if fault:
