Let the soak of restarts meet back ends that rest and that leave

Real entries that are restarted in turn under a seeded load, before four plain back ends now: one refuses every fourth call and asks for 3 s of rest, one says after 20 calls that it leaves. The checker counts, for each process of an entry, calls from half a second on in a rest (two are allowed) and calls later than 2 s after an answer that said 'leaving'. A check of the checker for both.

--- a/tests/processes/restarts/checker.py
+++ b/tests/processes/restarts/checker.py
@@ -23,6 +23,12 @@
 _LIMIT_WINDOW_SECONDS = 4
 _LIMIT_FACTOR = 1.5
 _LIMIT_SLACK = 5
+# Calls that were sent before a refusal arrived may come later than it.
+_REST_REACTION_SECONDS = 0.5
+_MAX_CALLS_IN_REST = 2
+# From the answer that says that a back end leaves; callers' attempts count that
+# were sent later.
+_DRAIN_SECONDS = 2
 
 
 class HistoryChecker:
@@ -43,6 +49,9 @@
             self._check_stop(lifetime)
         for backend, announced in self._history.limits.items():
             self._check_limit(backend, announced)
+        for calls in self._history.calls_by_process().values():
+            self._check_rests(calls)
+            self._check_leaving(calls)
         return self.violations
 
     def _check_outcome(self, attempt):
@@ -153,6 +162,38 @@
                 f'{allowed} allowed'
             )
 
+    def _check_rests(self, calls):
+        """A process keeps to the rest that a back end asked it for."""
+        attempts = {attempt_id for _backend, _at, attempt_id in calls}
+        refusals = [
+            refusal
+            for refusal in self._history.refusals
+            if refusal.attempt_id in attempts
+        ]
+        for refusal in refusals:
+            since = refusal.refused_at + _REST_REACTION_SECONDS
+            until = refusal.refused_at + refusal.rest_seconds
+            count = sum(
+                backend == refusal.backend and since <= at < until
+                for backend, at, _attempt_id in calls
+            )
+            if count > _MAX_CALLS_IN_REST:
+                self.violations.append(
+                    f'{refusal.backend}: {count} calls in a rest of '
+                    f'{refusal.rest_seconds} s'
+                )
+
+    def _check_leaving(self, calls):
+        """No call reaches a back end long after its answer said it leaves."""
+        told_at = {}
+        for backend, _at, attempt_id in calls:
+            at = self._history.leaving.get((backend, attempt_id))
+            if at is not None:
+                told_at[backend] = min(at, told_at.get(backend, at))
+        for backend, at, _attempt_id in calls:
+            if at > told_at.get(backend, at) + _DRAIN_SECONDS:
+                self.violations.append(f'{backend}: called, though it leaves')
+
     def _expect(self, attempt, holds, why):
         if holds:
             return
--- a/tests/processes/restarts/components.py
+++ b/tests/processes/restarts/components.py
@@ -24,16 +24,19 @@
 from ..test_platform import make_settings
 from .history import (
     ATTEMPT_HEADER,
+    LEAVING_HEADER,
     LIMIT_HEADER,
     SEAL_HEADER,
     STOP_SECONDS,
     AnnouncedLimit,
     BackendRun,
     EntryLifetime,
+    Refusal,
 )
 
 _ROOT = Path(__file__).resolve().parents[3]
 _READY_TIMEOUT_SECONDS = 15
+_CALLS_PER_REFUSAL = 4
 _PROMPT_TOKENS_PER_SECOND = 14_000
 
 
@@ -48,16 +51,34 @@
         Seconds from one event of a stream to the next.
     limit
         Calls per second that its answers announce, None for no limit.
+    rest_seconds
+        Rest that it asks for as it refuses a call, None if it refuses none.
+    leaves_after
+        Number of calls after which its answers say that it leaves.
     """
 
-    def __init__(self, name, history, event_seconds=0.0, limit=None):
+    def __init__(
+        self,
+        name,
+        history,
+        event_seconds=0.0,
+        limit=None,
+        rest_seconds=None,
+        leaves_after=float('inf'),
+    ):
         self._name = name
         self._history = history
         self._event_seconds = event_seconds
         self._limit = limit
+        self._rest_seconds = rest_seconds
+        self._leaves_after = leaves_after
+        self._calls = 0
 
     async def handle(self, request):
         attempt_id = request.headers[ATTEMPT_HEADER]
+        self._calls += 1
+        if self._rest_seconds and self._calls % _CALLS_PER_REFUSAL == 0:
+            return self._refuse(attempt_id)
         run = BackendRun(attempt_id, self._name, time.monotonic())
         self._history.runs[attempt_id].append(run)
         headers = {
@@ -68,6 +89,9 @@
             headers[LIMIT_HEADER] = str(self._limit)
             announced = AnnouncedLimit(self._limit, run.started_at)
             self._history.limits.setdefault(self._name, announced)
+        leaving = self._calls > self._leaves_after
+        if leaving:
+            headers[LEAVING_HEADER] = '1'
         _, kind, size = request.path.split('/')
         try:
             if kind == 'stream':
@@ -76,6 +100,22 @@
             return web.Response(text=attempt_id, headers=headers)
         finally:
             run.ended_at = time.monotonic()
+            if leaving:
+                key = self._name, attempt_id
+                self._history.leaving[key] = run.ended_at
+
+    def _refuse(self, attempt_id):
+        refusal = Refusal(
+            attempt_id, self._name, time.monotonic(), self._rest_seconds
+        )
+        self._history.refusals.append(refusal)
+        return web.Response(
+            status=503,
+            headers={
+                'Primrosewood-Not-Executed': '1',
+                'Retry-After': str(self._rest_seconds),
+            },
+        )
 
     async def _stream(self, request, headers, size):
         response = web.StreamResponse(headers=headers)
--- a/tests/processes/restarts/history.py
+++ b/tests/processes/restarts/history.py
@@ -14,6 +14,7 @@
 # By then the balancer has taken a stopping entry out, whatever the phase of
 # its health checks.
 BALANCER_REACTION_SECONDS = 3
+LEAVING_HEADER = 'Server-Leaving'
 LIMIT_HEADER = 'Server-Limit'
 
 _EVENT = re.compile(rb'id: (\d+)\ndata: (\S+)\n\n')
@@ -182,6 +183,16 @@
     first_seen_at: float
 
 
+@dataclass(frozen=True)
+class Refusal:
+    """A call that a back end refused, and the seconds of rest it asked for."""
+
+    attempt_id: str
+    backend: str
+    refused_at: float
+    rest_seconds: float
+
+
 @dataclass
 class History:
     """All that was observed from outside the entries.
@@ -192,6 +203,11 @@
         Longest delay, in seconds, of the event loop of callers and back ends.
     limits
         Announced limits by the names of back ends.
+    refusals
+        Calls that back ends refused.
+    leaving
+        When an answer first said that its back end leaves, by the back end and
+        the attempt.
     runs
         Runs by attempt id.
     """
@@ -200,6 +216,8 @@
     lifetimes: list[EntryLifetime] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     limits: dict[str, AnnouncedLimit] = field(default_factory=dict)
+    refusals: list[Refusal] = field(default_factory=list)
+    leaving: dict[tuple[str, str], float] = field(default_factory=dict)
     runs: dict[str, list[BackendRun]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -217,6 +235,25 @@
             if run.backend == backend
         )
 
+    def calls_by_process(self):
+        """Return the back end and the time of all calls, by entry process."""
+        lifetimes = {each.attempt_id: each.lifetime for each in self.attempts}
+        calls = [
+            (run.attempt_id, run.backend, run.started_at)
+            for runs in self.runs.values()
+            for run in runs
+        ]
+        calls += [
+            (each.attempt_id, each.backend, each.refused_at)
+            for each in self.refusals
+        ]
+        found = defaultdict(list)
+        for attempt_id, backend, at in calls:
+            lifetime = lifetimes.get(attempt_id)
+            if lifetime is not None:
+                found[id(lifetime)].append((backend, at, attempt_id))
+        return found
+
     def summarize(self):
         """Return one line with the stops and the counts of outcomes.
 
--- a/tests/processes/test_platform_restarts.py
+++ b/tests/processes/test_platform_restarts.py
@@ -49,6 +49,7 @@
     EntryLifetime,
     History,
     Outcome,
+    Refusal,
     RequestSpec,
 )
 from .restarts.load import LoadGenerator
@@ -60,8 +61,11 @@
 }
 
 _ENTRIES = 3
-# Calls per second that one of the two plain back ends accepts.
+# Of the plain back ends, one accepts this many calls per second, one refuses
+# every fourth call and asks for a rest, and one says that it leaves.
 _BACKEND_LIMIT = 2.0
+_REST_SECONDS = 3.0
+_CALLS_BEFORE_LEAVING = 20
 _REFUSAL = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -189,6 +193,38 @@
             self.history.runs[run.attempt_id].append(run)
         self.assert_violations('i-1')
 
+    def add_call(self, attempt_id, backend, started_at):
+        run = BackendRun(attempt_id, backend, started_at, started_at)
+        self.history.runs[attempt_id].append(run)
+        self.history.attempts.append(
+            Attempt(
+                attempt_id,
+                RequestSpec(attempt_id, 'read', 1),
+                self.lifetime,
+                sent_at=started_at,
+                outcome=Outcome.unread,
+            )
+        )
+
+    def assert_has(self, violation):
+        found = HistoryChecker(self.history).run()
+        self.assertTrue(any(violation in each for each in found), found)
+
+    def test_back_end_called_while_it_rests(self):
+        """Three calls from half a second on in a rest of three seconds."""
+        self.add_call('c-0', 'i-2', 90)
+        refusal = Refusal('c-0', 'i-1', 90, 3)
+        self.history.refusals.append(refusal)
+        for number in (1, 2, 3):
+            self.add_call(f'c-{number}', 'i-1', 90.5 + number / 2)
+        self.assert_has('i-1: 3 calls in a rest')
+
+    def test_back_end_called_after_it_said_it_leaves(self):
+        self.add_call('c-0', 'i-1', 90)
+        self.history.leaving['i-1', 'c-0'] = 90
+        self.add_call('c-1', 'i-1', 92.1)
+        self.assert_has('i-1: called, though it leaves')
+
     def test_entry_is_ready_long_after_sigterm(self):
         self.lifetime.last_ready_at = 103
         self.assert_violations('entry-0')
@@ -231,6 +267,8 @@
             any(attempt.status in REFUSAL_STATUSES for attempt in late)
         )
         self.assertTrue(any(attempt.reused for attempt in history.attempts))
+        self.assertGreater(len(history.refusals), 3)
+        self.assertTrue(history.leaving)
 
     async def run_load(self, seed):
         """Restart the entries under load and return what was observed."""
@@ -275,8 +313,14 @@
             name = f'i-{number}'
             engine = Backend(name, history, random.uniform(0.007, 0.011))
             await serve_backend(stack, store, 'model', engine, name)
-        for name, limit in (('desk-0', None), ('desk-1', _BACKEND_LIMIT)):
-            desk = Backend(name, history, limit=limit)
+        desks = {
+            'desk-0': {},
+            'desk-1': {'limit': _BACKEND_LIMIT},
+            'desk-2': {'rest_seconds': _REST_SECONDS},
+            'desk-3': {'leaves_after': _CALLS_BEFORE_LEAVING},
+        }
+        for name, traits in desks.items():
+            desk = Backend(name, history, **traits)
             await serve_backend(stack, store, 'desk', desk, name)
         entries = [
             Entry(f'entry-{number}', address, folder, history)
