Add the loss of a failure domain during a roll-out, which is known red

From the list of what docs/design/rollout.md calls not done: engines that leave, and domains that are lost, while a version is rolled out. Simulated without network. A third of the engines of both versions that fails at 9 of 12 s makes 2 of 20 good versions roll back: by then most calls go to new engines, so that their failures have nothing to be compared with.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -31,6 +31,8 @@
 _EXPOSURE_SHARE = 0.1
 _EXPOSURE_SLACK = 50
 _ROLLBACK_SECONDS = 5.0
+# Until entries have dropped engines that lost power.
+_DETECTION_SECONDS = 0.8
 _USUAL_FAILURES = {'drafts': 0.004, 'queries': 0.14}
 _ANSWER_SECONDS = {'drafts': 0.3, 'queries': 0.05}
 
@@ -94,6 +96,7 @@
         self.new_calls = []
         self.bad_answers = []
         self.grey_engines = {}
+        self.faults = []
         self.retired = set()
         self.backends = {}
         self.entries = [
@@ -142,11 +145,23 @@
             entry.apply_order('s', order)
         tasks = [asyncio.create_task(self._run_entry(e)) for e in self.entries]
         tasks.append(asyncio.create_task(self._tell_status()))
+        tasks += map(asyncio.create_task, self.faults)
         await asyncio.sleep(seconds)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def lose_domain(self, at):
+        """A third of the engines of both versions fails, then is dropped."""
+        await asyncio.sleep(at)
+        lost = ('old-0', 'new-1', 'old-6', 'new-7')
+        self.grey_engines.update(dict.fromkeys(lost, 1.0))
+        await asyncio.sleep(_DETECTION_SECONDS)
+        for backends in self.backends.values():
+            backends.record_store_result(answered=True, now=-60)
+            for name in lost:
+                backends.remove(name, LoopClock().monotonic())
+
     async def _tell_status(self):
         while True:
             await asyncio.sleep(0.4)
@@ -286,6 +301,14 @@
                 deployment.grey_engines['new-1'] = 0.45
                 self.check(deployment)
 
+    def test_domain_is_lost_as_the_new_version_takes_over(self):
+        """Guards against a roll-back because engines of both versions fail."""
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                deployment = _Deployment(_Version(), seed=seed)
+                deployment.faults = [deployment.lose_domain(at=9)]
+                self.check(deployment)
+
     def test_old_engines_are_retired_first(self):
         """Guards against streams that end as their engines are stopped."""
         deployment = _Deployment(_Version())
