Split the choice of back ends that may get a call from their placement

Which back ends all limits allow, and when the next one may get a call, is now candidates.Candidates; the rule for cold back ends is a ColdRule beside the RepeatRule.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -20,6 +20,7 @@
     expected_wait,
 )
 from .callprogress import CallProgress
+from .candidates import Candidates
 from .clock import Clock, RandomSource
 from .directcalls import BackendAttempt, DirectCall
 from .enginespeed import PromptRateEstimator
@@ -36,7 +37,7 @@
 from .outputlengths import LengthPredictor
 from .rolloutcontrol import RolloutControl
 from .routes import EngineTraits, TableHolder
-from .sharedlimits import EntryCount, RepeatBudget, RepeatRule
+from .sharedlimits import ColdRule, EntryCount, RepeatBudget, RepeatRule
 
 __all__ = ('CallPlacement', 'PlacementDependencies', 'RelayRules')
 
@@ -63,15 +64,13 @@
         Failure domain of this entry.
     repeats
         Limit on retries for each service.
-    cold_factor, cold_slack
-        A cold back end gets at most its cold rate times the factor, plus the
-        slack, in calls per second.
+    cold
+        Limit on calls to cold back ends.
     """
 
     failure_domain: str
     repeats: RepeatRule = RepeatRule()
-    cold_factor: float = 1.5
-    cold_slack: float = 5
+    cold: ColdRule = ColdRule()
 
 
 def _announce_nothing(
@@ -122,12 +121,19 @@
         """Start with empty retry budgets and default prompt rates."""
         self._deps = dependencies
         self._rules = dependencies.rules
+        self._candidates = Candidates(
+            dependencies.tables,
+            dependencies.backends,
+            dependencies.rollouts,
+            dependencies.rules.cold,
+        )
         self._repeat_budgets: dict[str, RepeatBudget] = {}
         self._prompt_rates: dict[str, PromptRateEstimator] = {}
 
     def update_rules(self, rules: RelayRules) -> None:
         """Apply changed limits; the calls and retries so far still count."""
         self._rules = rules
+        self._candidates.cold_rule = rules.cold
         for budget in self._repeat_budgets.values():
             budget.rule = rules.repeats
 
@@ -145,7 +151,9 @@
         """
         call = progress.call
         now = self._now()
-        candidates = self._list_candidates(progress, now)
+        candidates = self._candidates.list_available(
+            call.service, progress.failed_backends, now
+        )
         if not candidates:
             raise self._make_refusal(progress, now)
         context = self._make_context(call, now)
@@ -200,7 +208,7 @@
         now = self._now()
         within_budget = self._repeat_budget(call.service).spend(now)
         if progress.sends >= _MAX_SENDS or not within_budget:
-            seconds = self._seconds_until_call(call.service, now)
+            seconds = self._candidates.seconds_until_call(call.service, now)
             raise self.make_failure(
                 progress,
                 ErrorKind.overloaded,
@@ -402,22 +410,6 @@
         if not reservation.answered and now >= since + silence_limit:
             reservation.backend.record_failure(now)
 
-    def _list_candidates(
-        self, progress: CallProgress, now: float
-    ) -> Sequence[Backend]:
-        service = progress.call.service
-        available: list[Backend] = []
-        unavailable: list[Backend] = []
-        for backend in self._deps.backends.usable(service):
-            if backend.name in progress.failed_backends:
-                continue
-            ready = not backend.seconds_until_call(now)
-            ready = ready and self._has_cold_capacity(backend, now)
-            (available if ready else unavailable).append(backend)
-        if self._deps.rollouts is None or not available:
-            return available
-        return self._deps.rollouts.select(service, available, unavailable)
-
     def _check_first_event(
         self, progress: CallProgress, chosen: Backend, context: PlacementContext
     ) -> float | None:
@@ -452,26 +444,14 @@
         self, progress: CallProgress, now: float
     ) -> RequestFailedError:
         """Return the error for a call that no back end may get now."""
-        seconds = self._seconds_until_call(progress.call.service, now)
+        seconds = self._candidates.seconds_until_call(
+            progress.call.service, now
+        )
         kind = ErrorKind.overloaded if seconds else ErrorKind.no_endpoint
         return self.make_failure(
             progress, kind, retry_seconds=seconds or _RETRY_AFTER_SECONDS
         )
 
-    def _seconds_until_call(self, service: str, now: float) -> float:
-        """Return the seconds until the first back end takes calls again.
-
-        Zero if one does now, as after a failure of a single call, or if there
-        is none.
-        """
-        return min(
-            (
-                backend.seconds_until_call(now)
-                for backend in self._deps.backends.usable(service)
-            ),
-            default=0,
-        )
-
     def _make_context(self, call: DirectCall, now: float) -> PlacementContext:
         domain = self._rules.failure_domain
         tokens = self._expected_tokens(call)
@@ -504,17 +484,6 @@
         seconds = reservation.first_event_at - sent
         self._prompt_rate(call.service).observe(tokens, seconds)
 
-    def _has_cold_capacity(self, backend: Backend, now: float) -> bool:
-        """Return whether a back end is warm or below its cold limit."""
-        traits = self._deps.tables.traits(backend.record.service)
-        if traits is None or not traits.cold_rate:
-            return True
-        if not self._deps.backends.is_cold(backend, now):
-            return True
-        rate = traits.cold_rate * self._rules.cold_factor
-        rate += self._rules.cold_slack
-        return backend.cold_limit.has_capacity(rate, now)
-
     def _expected_tokens(self, call: DirectCall) -> ReservedTokens | None:
         size = call.size
         if size is None:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -33,7 +33,7 @@
 from ..relay import Relay, RelayDependencies
 from ..rolloutcontrol import RolloutControl, RolloutDependencies
 from ..routes import CallerLimits, TableHolder
-from ..sharedlimits import EntryCount, RepeatRule
+from ..sharedlimits import ColdRule, EntryCount, RepeatRule
 from ..sharedreader import SharedReader
 from ..stopping import StopWindow
 from ..unsent import has_unsent_data
@@ -298,6 +298,5 @@
             slack=limits.repeat_slack,
             window=limits.repeat_window_seconds,
         ),
-        cold_factor=limits.cold_factor,
-        cold_slack=limits.cold_slack,
+        cold=ColdRule(limits.cold_factor, limits.cold_slack),
     )
--- a/primrosewood/sharedlimits.py
+++ b/primrosewood/sharedlimits.py
@@ -13,6 +13,7 @@
 __all__ = (
     'CallLimit',
     'ColdLimit',
+    'ColdRule',
     'EntryCount',
     'RepeatBudget',
     'RepeatRule',
@@ -79,6 +80,20 @@
     window: float = 10
 
 
+@dataclass(frozen=True, slots=True)
+class ColdRule:
+    """Limit on the calls per second to one cold back end.
+
+    Attributes
+    ----------
+    factor, slack
+        It gets at most its cold rate times the factor, plus the slack.
+    """
+
+    factor: float = 1.5
+    slack: float = 5
+
+
 class RepeatBudget:
     """Retry budget of one service, which prevents retry storms.
 
