--- a/primrosewood/candidates.py
+++ b/primrosewood/candidates.py
@@ -1,4 +1,4 @@
-"""Which back ends of a service may get a call now, and when the next one may."""
+"""Which back ends of a service may get a call, and when the next one may."""
 
 from collections.abc import Collection, Sequence
 
