Share the refusal of two tests of paused back ends

Both set up the same back end that refuses and asks for two seconds; the assertions are the same as before. 8 tests of PausedBackendTest pass.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -358,10 +358,9 @@
         self.assertLess(caught.exception.retry_seconds, 2.6)
         self.assertEqual([], self.list_called())
 
-    async def test_refusal_that_pauses_the_last_back_end(self):
-        """Guards against the default time where the refusal states one."""
+    async def check_last_refusal(self):
+        """The one back end that is not paused refuses and asks for 2 s."""
         self.pause(3, 'e1', 'e2')
-        call = self.make_call(RouteKind.non_idempotent)
 
         @asynccontextmanager
         async def send(_call, _backend_attempt):
@@ -371,26 +370,17 @@
 
         self.transport.send = send
         with self.assertRaises(RequestFailedError) as caught:
-            await self.answer(call)
+            await self.answer(self.make_call(RouteKind.non_idempotent))
         self.assertGreaterEqual(caught.exception.retry_seconds, 1.9)
 
-    async def test_no_repeat_is_left_while_all_are_paused(self):
-        self.pause(3, 'e1', 'e2')
-        call = self.make_call(RouteKind.non_idempotent)
-
-        @asynccontextmanager
-        async def send(_call, _backend_attempt):
-            self.pause(2, 'e3')
-            raise REFUSED
-            yield
+    async def test_refusal_that_pauses_the_last_back_end(self):
+        """Guards against the default time where the refusal states one."""
+        await self.check_last_refusal()
 
-        self.transport.send = send
-        with (
-            mock.patch('primrosewood.callplacement._MAX_SENDS', 1),
-            self.assertRaises(RequestFailedError) as caught,
-        ):
-            await self.answer(call)
-        self.assertGreaterEqual(caught.exception.retry_seconds, 1.9)
+    async def test_no_repeat_is_left_while_all_are_paused(self):
+        """Guards against the default time after the last repeat."""
+        with mock.patch('primrosewood.callplacement._MAX_SENDS', 1):
+            await self.check_last_refusal()
 
     async def resume_at(self, target, seconds=5):
         """Answer a stream that is moved; return its seconds."""
