Let assertions of the relay's tests fail

Seen as a mutation (pauses never in force) left three of the new tests green. All 33 tests of the relay pass with assertions that work, so nothing was hidden; with pauses switched off 5 of the 8 tests of paused back ends fail (2 before). No other test class overrides a method of unittest in this way (searched).

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -154,7 +154,7 @@
         self.transport.script.extend(script)
         await self.relay.answer(call, self.sink)
 
-    async def fail(self, call, *script):
+    async def find_failure(self, call, *script):
         with self.assertRaises(RequestFailedError) as caught:
             await self.answer(call, *script)
         return caught.exception.kind
@@ -192,7 +192,7 @@
         claims that it did not run would make the caller retry it.
         """
         call = self.make_call(RouteKind.non_idempotent, max_endpoints=3)
-        kind = await self.fail(call, CUT, ScriptedReply(b'a'))
+        kind = await self.find_failure(call, CUT, ScriptedReply(b'a'))
         self.assertEqual(ErrorKind.outcome_unknown, kind)
         self.assertEqual(1, len(self.transport.backend_attempts))
 
@@ -203,7 +203,7 @@
         sending it further calls, each of which waits for the route's timeout.
         """
         call = self.make_call(RouteKind.non_idempotent, seconds=1)
-        kind = await self.fail(call, HANG)
+        kind = await self.find_failure(call, HANG)
         self.assertEqual(ErrorKind.deadline_exceeded, kind)
         now = self.clock.monotonic()
         hanging = self.transport.backend_attempts[0].backend
@@ -258,14 +258,14 @@
         The call may have run, so the error must not claim that it did not.
         """
         call = self.make_call(RouteKind.idempotent, max_endpoints=2)
-        kind = await self.fail(call, CUT, REFUSED, REFUSED)
+        kind = await self.find_failure(call, CUT, REFUSED, REFUSED)
         self.assertEqual(ErrorKind.outcome_unknown, kind)
 
     async def test_idempotent_call_runs_at_no_more_endpoints_than_allowed(
         self,
     ):
         call = self.make_call(RouteKind.idempotent, max_endpoints=2)
-        kind = await self.fail(call, CUT, CUT, ScriptedReply(b'a'))
+        kind = await self.find_failure(call, CUT, CUT, ScriptedReply(b'a'))
         self.assertEqual(ErrorKind.outcome_unknown, kind)
         self.assertEqual(2, len(self.transport.backend_attempts))
 
@@ -295,7 +295,7 @@
     async def test_no_back_end_is_available(self):
         for name in ('e1', 'e2', 'e3'):
             self.backends.find(name).leaving = True
-        kind = await self.fail(self.make_call(RouteKind.idempotent))
+        kind = await self.find_failure(self.make_call(RouteKind.idempotent))
         self.assertEqual(ErrorKind.no_endpoint, kind)
         self.assertEqual([], self.transport.backend_attempts)
 
@@ -486,7 +486,7 @@
         Unless the route is resumable, one answer must not mix two generations.
         """
         call = self.make_call(RouteKind.streaming)
-        kind = await self.fail(
+        kind = await self.find_failure(
             call, ScriptedReply(make_event(1), CUT), ScriptedReply()
         )
         self.assertEqual(ErrorKind.generation_lost, kind)
@@ -494,7 +494,7 @@
 
     async def test_missing_events_fail_the_stream(self):
         call = self.make_call(RouteKind.streaming)
-        kind = await self.fail(
+        kind = await self.find_failure(
             call, ScriptedReply(make_event(1), make_event(3))
         )
         self.assertEqual(ErrorKind.generation_lost, kind)
@@ -511,7 +511,9 @@
             yield ScriptedReply(make_event(1), CUT)
 
         self.transport.send = send
-        self.assertEqual(ErrorKind.generation_lost, await self.fail(call))
+        self.assertEqual(
+            ErrorKind.generation_lost, await self.find_failure(call)
+        )
 
     async def test_refused_stream_is_sent_to_another_back_end(self):
         await self.answer(
@@ -541,7 +543,7 @@
             yield b''
 
         reply.parts = stall
-        kind = await self.fail(call, reply)
+        kind = await self.find_failure(call, reply)
         self.assertEqual(ErrorKind.deadline_exceeded, kind)
 
     async def test_lost_stream_of_a_resumable_route_is_regenerated(self):
@@ -581,7 +583,9 @@
         call = self.make_call(
             RouteKind.streaming, resumable=True, max_endpoints=2
         )
-        kind = await self.fail(call, CUT, CUT, ScriptedReply(make_event(1)))
+        kind = await self.find_failure(
+            call, CUT, CUT, ScriptedReply(make_event(1))
+        )
         self.assertEqual(ErrorKind.outcome_unknown, kind)
         self.assertEqual(2, len(self.transport.backend_attempts))
 
@@ -604,7 +608,7 @@
 
     async def test_failed_call_releases_its_reservation(self):
         call = self.make_call(RouteKind.streaming)
-        await self.fail(call, ScriptedReply(make_event(1), CUT))
+        await self.find_failure(call, ScriptedReply(make_event(1), CUT))
         for backend in self.backends.backends:
             self.assertEqual(0, backend.open_calls)
             self.assertEqual(0, backend.open_tokens)
