Remember that a call ran whose answer was discarded unread

On the product's own path an entry that loses the connection to an endpoint asks for the state of its attempt when it is back. An ended call without an idempotency key whose answer had been discarded meanwhile, for age or for want of space (kept_bytes), was 'never seen': the endpoint answered never_offered, and the caller got a 503 that promises 'not run' for a call that had run, and would send it again.

Attempts whose answers were not delivered are kept in a list of their own, as many as other discarded ones; the oldest go without a mark, since an entry asks within the request's deadline, and many abandoned streams must not make all unknown attempts doubtful.

--- a/primrosewood/attempts.py
+++ b/primrosewood/attempts.py
@@ -18,7 +18,7 @@
     refused
         It was refused and must never run here.
     ran
-        It ran with an idempotency key; its answer was discarded.
+        It ran; its answer was discarded.
     never_seen
         It has no record here (it may be queued), and no record of an ended
         attempt with an idempotency key was evicted.
@@ -40,8 +40,8 @@
     Parameters
     ----------
     max_remembered
-        Maximum number of refused attempts, and of discarded keyed attempts,
-        that are remembered.
+        Maximum number of refused attempts, of discarded keyed attempts, and of
+        attempts whose answers were discarded unread, that are remembered.
     """
 
     def __init__(self, max_remembered: int) -> None:
@@ -51,6 +51,7 @@
         self._generations: dict[str, GenerationJob] = {}
         self._refused: OrderedDict[str, None] = OrderedDict()
         self._ran: OrderedDict[str, None] = OrderedDict()
+        self._unread: OrderedDict[str, None] = OrderedDict()
         self._has_forgotten = False
 
     @property
@@ -64,7 +65,7 @@
             return AttemptState.kept
         if attempt in self._refused:
             return AttemptState.refused
-        if attempt in self._ran:
+        if attempt in self._ran or attempt in self._unread:
             return AttemptState.ran
         # Once the record of an ended keyed attempt was evicted, an unknown
         # attempt may be that one and can no longer be reported as never seen.
@@ -106,16 +107,26 @@
     def retire(self, job: Job) -> None:
         """Discard an ended answer.
 
-        An attempt with an idempotency key is remembered as run.
+        An attempt with an idempotency key is remembered as run, and so is one
+        whose answer was not read: its entry may have lost the connection, and
+        asks again within the deadline of the request.
         """
         self._remove(job)
         if not job.keyed:
+            self._remember_unread(job)
             return
         self._ran[job.offer.attempt] = None
         if len(self._ran) > self._max_remembered:
             self._ran.popitem(last=False)
             self._has_forgotten = True
 
+    def _remember_unread(self, job: Job) -> None:
+        if job.delivered:
+            return
+        self._unread[job.offer.attempt] = None
+        if len(self._unread) > self._max_remembered:
+            self._unread.popitem(last=False)
+
     def _remove(self, job: Job) -> None:
         self._jobs.pop(job.offer.attempt, None)
         if isinstance(job, GenerationJob):
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from primrosewood import gen_wire as wire
 from primrosewood.backends import (
@@ -109,13 +110,16 @@
         self.backend = FakeBackend()
         self.link = RecordingLink()
         self.revision = 0
-        self.worker = Worker(
+        self.worker = self.make_worker(Limits())
+
+    def make_worker(self, limits):
+        return Worker(
             _IDENTITY,
             self.store,
             self.backend,
             self.backend,
             SystemClock(),
-            Limits(),
+            limits,
             Timing(),
             Metrics(),
         )
@@ -228,6 +232,22 @@
         self.assertEqual('Finished', fetching_link.message_types()[-1])
         self.assertEqual('Finished', self.link.message_types()[-1])
 
+    async def test_fetch_of_an_answer_that_was_discarded_unread(self):
+        """Guards against a call that ran and is reported as never offered.
+
+        Its entry lost the connection before it read the answer, and the answer
+        was discarded for want of space before the entry came back.
+        """
+        self.worker = self.make_worker(Limits(kept_bytes=1))
+        self.apply_settings(kind='plain')
+        await self.offer(method='POST', path='/x')
+        self.worker.drop_link(self.link)
+        self.worker.tick()
+        with mock.patch('primrosewood.worker._OFFER_GRACE_SECONDS', 0):
+            self.worker.handle(make_fetch(), self.link)
+        self.worker.tick()
+        self.assertEqual('answer_expired', self.link.sent[-1].kind)
+
     async def test_fetch_of_an_older_incarnation(self):
         self.apply_settings()
         self.worker.handle(make_fetch(incarnation='older'), self.link)
