Let the registry's answer of case 1 reach the requester's stream

The stand-in's answer ends with a blank line, so that the entry takes it for an event. The requester then gets it in a stream that looks complete.

--- a/review/common/requester.py
+++ b/review/common/requester.py
@@ -42,8 +42,8 @@
             text = line.decode('latin-1').strip()
             if text.startswith('id:'):
                 last_event = text
-            elif text.startswith('data:') and text != f'data: {attempt}':
-                stage.record(f'requester: {attempt} gets foreign {text}')
+            elif text.startswith('number'):
+                stage.record(f'requester: {attempt} gets foreign "{text}"')
             elif text == '0':
                 complete = True
                 break
--- a/review/common/service.py
+++ b/review/common/service.py
@@ -79,6 +79,6 @@
             self.stage.record(f'{self.name}: runs {attempt} {path}')
             await asyncio.sleep(self.work_seconds)
         seal = {'Primrosewood-Response-Seal': f'{self.name}.{attempt}'}
-        answer = f'{self.service} {attempt}'.encode()
+        answer = f'number 4711 issued for {attempt}\n\n'.encode()
         writer.write(make_answer(200, attempt, seal, answer))
         return await writer.drain()
