--- a/review/common/requester.py
+++ b/review/common/requester.py
@@ -1,15 +1,38 @@
-"""A requester that reads one stream."""
+"""A requester that sends one request on a new channel."""
 
 import asyncio
 
 from stage import Stage
 from wire import make_request, read_head
 
-__all__ = ('request_stream',)
+__all__ = ('request_plain', 'request_stream')
 
 _PROMPT_BYTES = 2900
 
 
+async def request_plain(
+    stage: Stage, address: str, attempt: str, route: dict, key: str
+) -> int:
+    """Send a request to a plain service; return the answer's status.
+
+    Parameters
+    ----------
+    key
+        The API key, empty for a request without one.
+    """
+    host, port = address.split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    path = f'{route["path_prefix"]}1'
+    deadline_ms = route['timeout_ms']
+    headers = {'Authorization': f'Bearer {key}'} if key else {}
+    writer.write(make_request(path, attempt, deadline_ms, b'{}', headers))
+    stage.record(f'requester: sends {attempt} with the key "{key}"')
+    first, _headers = await read_head(reader)
+    writer.close()
+    stage.record(f'requester: {attempt} gets {first}')
+    return int(first.split()[1])
+
+
 async def request_stream(
     stage: Stage, address: str, attempt: str, route: dict, usage: str
 ) -> bool:
@@ -25,6 +48,7 @@
     host, port = address.split(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     headers = {
+        'Authorization': 'Bearer key-1',
         'Primrosewood-Model': 'm',
         'Primrosewood-Token-Usage': usage,
         'Primrosewood-Prefix-Hash': '5c1e07a2:210,e4402b7d:140',
--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -25,7 +25,6 @@
     """Return a requester's POST."""
     fields = {
         'Host': 'h.example',
-        'Authorization': 'Bearer key-1',
         'Primrosewood-Attempt-Id': attempt,
         'Primrosewood-Deadline-Ms': deadline_ms,
         'Content-Length': len(body),
