--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -42,6 +42,9 @@
 
 _MAX_SECONDS = 100
 _READY_SECONDS = 20
+# Names the file to which the ids of started programs are written, so that the
+# caller can end them if this process is killed.
+_PROCESS_IDS_VARIABLE = 'REVIEW_PROCESS_IDS'
 # Environment that the platform passes on to a program.
 _PASSED_VARIABLES = ('PATH', 'HOME', 'LANG')
 # Bounds of the small sites, as the template passes them on.
@@ -179,6 +182,9 @@
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
             await process.wait()
+        if _PROCESS_IDS_VARIABLE in os.environ:
+            # None is left; an id may soon be that of another process.
+            Path(os.environ[_PROCESS_IDS_VARIABLE]).write_text('')
         self._record_file.close()
         shutil.rmtree(self._folder)
 
@@ -215,6 +221,9 @@
                 stderr=log,
             )
         self.record(f'{name}: started')
+        if _PROCESS_IDS_VARIABLE in os.environ:
+            with Path(os.environ[_PROCESS_IDS_VARIABLE]).open('a') as ids:
+                ids.write(f'{self._programs[name].pid}\n')
 
 
 def run_case(play: Callable[[Stage], Awaitable[int]], folder: Path) -> None:
