Allow some retries until the number of entries is stored

Callers of a fleet whose number of entries is not in the key-value service lost their streams: every retry was refused for 3 to 8 s after the start, with all entries in touch and nothing spent.

Cause: the share of a limit was 0 until the number had been stored, and it was stored only after it had not grown for 1.5 s and a turn of up to 5 s. Ruled out: retries of the process before (a tenth of the share is allowed for those), and links that come late (the reports were there).

The sum holds (tests/test_retry_limit.py, two new patterns with 5, 26 and 330 entries; bounds as they were).

test_number_of_entries_that_is_not_stored_yet, test_stored_number_is_away_for_long and test_number_of_few_entries_is_written_soon failed before.

--- a/primrosewood/entrycount.py
+++ b/primrosewood/entrycount.py
@@ -28,10 +28,12 @@
 # An entry that has heard no report for this long registers by its name.
 _REGISTER_SECONDS = 5.0
 _MAX_NAMES = 1000
-# A larger number is recorded once it has not grown for this long.
+# A larger number counts, and is recorded, once it has not grown for this long.
 _SETTLE_SECONDS = 1.5
-# Range of the random time for which an entry leaves the write to the others.
-_WRITE_TURN_SECONDS = 5.0
+# Range of the random time for which an entry leaves the write to the others,
+# for each of them and at most.
+_TURN_SECONDS_PER_ENTRY = 0.2
+_MAX_TURN_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,7 @@
         self._count = entries
         self._known = entries
         self._recent = _RecentMaximum()
+        self._grown_at = float('inf')
 
     @classmethod
     def assume(cls, entries: int, new_deployment: bool = False) -> 'EntryCount':
@@ -104,18 +107,36 @@
         """Most entries that were reported for long, 0 without a report."""
         return self._recent.most
 
+    @property
+    def known(self) -> bool:
+        """Whether limits may be divided by `shares` without reserve.
+
+        In a new deployment no entry has used any part of a limit, and the
+        guess holds until the first report.
+        """
+        return bool(self._known) or self._new_deployment
+
     def share_of(self, limit: float) -> float:
-        """Return an equal part of a limit, 0 while their number is unknown.
+        """Return an equal part of a limit, 0 while their number is unknown."""
+        return limit / self.shares if self.known else 0
+
+    def provisional_share_of(self, limit: float, now: float) -> float:
+        """Return a part of a limit, by the stored or the reported number.
 
-        In a new deployment no entry has used any of it, and the guess holds
-        until the first report.
+        The reported number may miss entries that are restarted or cut off, so
+        that callers use only a fraction of such a part.  It is 0 until that
+        number has stopped growing.
         """
-        known = self._known or self._new_deployment
-        return limit / self.shares if known else 0
+        if self.known:
+            return self.share_of(limit)
+        settled = now >= self._grown_at + _SETTLE_SECONDS
+        return limit / self.most_reported if settled else 0
 
     def update(self, entries: int, now: float) -> None:
         """Update the number to that of the entries connected to an endpoint."""
         self._count = max(1, entries)
+        if self._count > self.most_reported:
+            self._grown_at = now
         self._recent.record(self._count, now)
 
     def restore(self, entries: int) -> None:
@@ -213,7 +234,12 @@
         return replace(stored, names=names)
 
     def _schedule(self, now: float) -> None:
-        turn = _WRITE_TURN_SECONDS * self._random.random()
+        # Without reports every entry has to write its own name.
+        reported = self._entries.most_reported or float('inf')
+        longest_turn = min(
+            _MAX_TURN_SECONDS, reported * _TURN_SECONDS_PER_ENTRY
+        )
+        turn = longest_turn * self._random.random()
         self._write_at = now + _SETTLE_SECONDS + turn
 
     async def _write(self, wanted: StoredEntryCount) -> None:
--- a/primrosewood/repeatbudget.py
+++ b/primrosewood/repeatbudget.py
@@ -23,8 +23,9 @@
 _USED_SHARE = 0.8
 # The same for moved streams that are resumed, which are lost otherwise.
 _RESUMPTION_SHARE = 0.9
-# The same while it is not known what the process before has used.
-_UNKNOWN_PAST_SHARE = 0.1
+# The same while it is not known what the process before has used, or how many
+# entries there are.
+_PROVISIONAL_SHARE = 0.1
 # Part of its share of the limit for any single window that an entry uses.
 _WINDOW_SHARE = 0.95
 # A retry may arrive this much later than it was counted.
@@ -143,14 +144,9 @@
             Whether the retries of the process that ran here before are counted.
         """
         self._drop_expired(now)
-        if past_known:
-            used_share = _RESUMPTION_SHARE if resumes else _USED_SHARE
-            allowed = self._fits(used_share, 1) and self._fits_all_windows(now)
-        else:
-            # The slack grows from the start of the process, which may be the
-            # last of several that have run here within the window.
-            up_share = min(1, (now - self._started_at) / self.rule.window)
-            allowed = self._fits(_UNKNOWN_PAST_SHARE, up_share)
+        allowed = past_known and self._fits_share(now, resumes)
+        if not (past_known and self._entries.known):
+            allowed = allowed or self._fits_provisional_share(now)
         if allowed:
             self._repeats.append(now)
         return allowed
@@ -165,9 +161,24 @@
             retries=self._count_repeats(now),
         )
 
-    def _fits(self, used_share: float, slack_share: float) -> bool:
+    def _fits_share(self, now: float, resumes: bool) -> bool:
+        """Return whether one more retry fits this entry's share."""
+        used_share = _RESUMPTION_SHARE if resumes else _USED_SHARE
+        slack = self._entries.share_of(self.rule.slack)
+        return self._fits(used_share, slack) and self._fits_all_windows(now)
+
+    def _fits_provisional_share(self, now: float) -> bool:
+        """Return whether one more retry fits what an uncertain entry may use.
+
+        The slack grows from the start of the process, which may be the last of
+        several that have run here within the window.
+        """
+        slack = self._entries.provisional_share_of(self.rule.slack, now)
+        up_share = min(1, (now - self._started_at) / self.rule.window)
+        return self._fits(_PROVISIONAL_SHARE, slack * up_share)
+
+    def _fits(self, used_share: float, slack: float) -> bool:
         """Return whether one more retry fits the requests of the window."""
-        slack = self._entries.share_of(self.rule.slack) * slack_share
         earned = self.rule.ratio * len(self._requests)
         needed = len(self._repeats) + self._rounding
         return needed <= used_share * (earned + slack)
--- a/tests/test_entrycount.py
+++ b/tests/test_entrycount.py
@@ -102,6 +102,12 @@
         await self.run_ticks(60)
         self.assertEqual(written, len(self.written()))
 
+    async def test_number_of_few_entries_is_written_soon(self):
+        """Guards against a fleet whose limits are not shared for long."""
+        self.entries.update(2, self.clock.now)
+        await self.run_ticks(2.2)
+        self.assertEqual([(2, 0)], self.written())
+
     async def test_growing_number_is_written_when_it_has_settled(self):
         """Guards against a write for each entry that starts."""
         for entries in range(1, 27):
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -46,7 +46,7 @@
 class SimulatedEntry:
     """An entry that keeps its share of the limit in memory."""
 
-    def __init__(self, number, clock, tell, random_source):
+    def __init__(self, number, clock, tell, random_source, new_deployment):
         self.number = number
         self.generation = 0
         self.alive_from = 0.0
@@ -54,7 +54,7 @@
         self._clock = clock
         self._tell = tell
         self._random = random_source
-        self.start(clock.now, 0.0, new_deployment=True)
+        self.start(clock.now, 0.0, new_deployment)
 
     @property
     def name(self):
@@ -117,6 +117,8 @@
         entries; infinite if the service is away.
     store_forgets
         Whether the number is gone when an entry starts.
+    new_deployment
+        Whether the first entries are told that none has run before.
     archives_lost_at
         When all processes beside engines are restarted.
     """
@@ -130,6 +132,7 @@
     peaks: tuple = ()
     store_delay: float = 0.0
     store_forgets: bool = False
+    new_deployment: bool = True
     archives_lost_at: float = _RUN_SECONDS
     until: float = _RUN_SECONDS
 
@@ -153,7 +156,13 @@
         self._clock.now = 0.0
         self._archives = self._make_archives()
         self._entries = [
-            SimulatedEntry(number, self._clock, self._tell, self._random)
+            SimulatedEntry(
+                number,
+                self._clock,
+                self._tell,
+                self._random,
+                disruptions.new_deployment,
+            )
             for number in range(entries)
         ]
         self._disruptions = disruptions
@@ -389,6 +398,28 @@
             )
         )
 
+    def test_number_of_entries_is_never_stored(self):
+        """Guards against shares of a number that misses those cut off."""
+        self.assert_within_limit(
+            lambda everyone: Disruptions(
+                {16.0: everyone, 18.5: everyone, 21.0: everyone},
+                cut_from=11.0,
+                cut_until=39.0,
+                store_forgets=True,
+                new_deployment=False,
+            )
+        )
+
+    def test_number_of_entries_is_read_late_at_the_start(self):
+        """Guards against shares of the few entries that are connected yet."""
+        self.assert_within_limit(
+            lambda everyone: Disruptions(
+                {4.0 + number * 0.05: [number] for number in everyone},
+                store_delay=12.0,
+                new_deployment=False,
+            )
+        )
+
     def test_requests_in_two_peaks(self):
         """Guards against retries for requests of two windows of the limit."""
         self.assert_within_limit(
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -81,6 +81,26 @@
         entries.restore(5)
         self.assertTrue(budget.spend(1.0))
 
+    def test_number_of_entries_that_is_not_stored_yet(self):
+        """Guards against no retry at all in the first seconds of a fleet."""
+        entries = EntryCount.assume(8)
+        entries.update(2, 1.0)
+        budget = RepeatBudget(RULE, entries, started_at=0.0)
+        self.assertFalse(budget.spend(2.0, past_known=False))
+        self.assertTrue(budget.spend(4.5, past_known=False))
+        self.assertFalse(budget.spend(4.5, past_known=False))
+
+    def test_stored_number_is_away_for_long(self):
+        """Guards against a whole share of a number that only was reported."""
+        entries = EntryCount.assume(8)
+        entries.update(2, 1.0)
+        budget = RepeatBudget(RULE, entries, started_at=0.0)
+        sent = 0
+        while budget.spend(60.0):
+            sent += 1
+        # A tenth of half of the slack of 50.
+        self.assertEqual(2, sent)
+
     def test_retries_of_the_process_before_are_counted(self):
         """Guards against retries that are forgotten with a process."""
         before = RepeatBudget(RULE, EntryCount(1))
