Name the target of a move by service, name and boot

Since the name and the service are compared, but never the boot, and an empty name (a process of an older build) fell back to the address and the service.

Now BackendIdentity (service, name, boot) cannot be built with an empty field. A target of a move, a copy in a notice, and the query before the last copy carry one, made where the message is decoded; find_identity replaces the look-up by address. A reply, query or notice without the whole identity chooses nothing.

New fields stand at the end of the wire messages. Between processes of this and an older build streams are not moved but regenerated or cut, as a boot is missing.

With the comparison of boots taken out, test_engine_that_was_started_again and test_other_back_ends_at_its_address fail; test_targets_without_an_identity and test_copy_without_a_complete_identity guard the empty forms. The notice of a missing name in test_address_that_another_service_has_taken cannot be built any more; in its place the address holder itself is named. The stand-ins state the boot in records and reports.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from .backendindex import BackendIndex
-from .backendstate import Backend, BackendRecord
+from .backendstate import Backend, BackendIdentity, BackendRecord
 from .backpressure import Backpressure
 from .clock import RandomSource
 from .enginespeed import TOKEN_SECONDS
@@ -91,8 +91,12 @@
         self._missing.discard(record.name)
         known = self._index.find(record.name)
         announced = known is not None and known.announced_at is not None
-        # An announcement states no boot to compare.
-        if known is None or not (announced or known.record.boot == record.boot):
+        # Announcements of older processes state no boot to compare.
+        is_same_start = known is not None and (
+            known.record.boot == record.boot
+            or (announced and not known.record.boot)
+        )
+        if not is_same_start:
             known = Backend(
                 record,
                 self._make_cold_limit(),
@@ -186,6 +190,13 @@
         """Return the back end with a name, None if unknown."""
         return self._index.find(name)
 
+    def find_identity(self, identity: BackendIdentity) -> Backend | None:
+        """Return one start of a back end, None if it is not known."""
+        backend = self._index.find(identity.name)
+        if backend is None or backend.record.identity != identity:
+            return None
+        return backend
+
     def find_address(self, address: str) -> Backend | None:
         """Return the latest back end at an address, None if unknown."""
         return self._index.find_address(address)
--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass, field
 
 from .backpressure import Backpressure
+from .errors import WireError
 from .sharedlimits import CallLimit, ColdLimit
 
-__all__ = ('Backend', 'BackendRecord', 'EngineState')
+__all__ = ('Backend', 'BackendIdentity', 'BackendRecord', 'EngineState')
 
 # A back end that refused a connection gets no calls for this long while others
 # are available; the platform restarts a process in about a second.
@@ -26,6 +27,34 @@
 _MISDIRECTED_SECONDS = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class BackendIdentity:
+    """One start of one back end.
+
+    An address does not identify a back end: others use it later, also those of
+    other services.
+
+    Attributes
+    ----------
+    boot
+        Identifies the start of its process.
+
+    Raises
+    ------
+    WireError
+        One of the fields is empty.
+    """
+
+    service: str
+    name: str
+    boot: int
+
+    def __post_init__(self) -> None:
+        """Refuse an identity that could match several back ends."""
+        if not (self.service and self.name and self.boot):
+            raise WireError(f'incomplete identity of a back end: {self}')
+
+
 @dataclass(frozen=True, slots=True)
 class BackendRecord:
     """A back end's registration in the key-value service.
@@ -60,6 +89,13 @@
     revision: int = field(default=0, compare=False)
     version: str = ''
 
+    @property
+    def identity(self) -> BackendIdentity | None:
+        """Which start of which back end it is, None if the start is unknown."""
+        if not self.boot:
+            return None
+        return BackendIdentity(self.service, self.name, self.boot)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineState:
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -38,7 +38,7 @@
 )
 from .logs import log_decision
 from .metrics import Metrics
-from .moves import MoveNotice
+from .moves import MovedCopy
 from .outputlengths import LengthPredictor
 from .repeatbudget import RepeatRule
 from .retrybudgets import RetryBudgets
@@ -363,7 +363,7 @@
             self._deps.guard.record_survival(call)
 
     async def find_resuming(
-        self, progress: CallProgress, notice: MoveNotice
+        self, progress: CallProgress, copy: MovedCopy
     ) -> Backend:
         """Return the back end that resumes a moved call.
 
@@ -375,7 +375,7 @@
             This entry does not know the back end, and a call must carry its
             name; or it takes no calls any more, or its pause outlasts the call.
         """
-        backend = self._find_target(progress.call, notice)
+        backend = self._find_holder(progress.call, copy)
         if backend is None or self._is_gone(backend, progress.call):
             raise self.make_failure(progress, ErrorKind.outcome_unknown)
         backpressure = backend.backpressure
@@ -413,21 +413,12 @@
         """Return the traits of a service's engines, None for plain services."""
         return self._deps.tables.engine_traits(service)
 
-    def _find_target(
-        self, call: DirectCall, notice: MoveNotice
-    ) -> Backend | None:
-        """Return the engine that holds a copy, None if it is not known.
-
-        Another back end, also of another service, may have its address by now.
-        """
-        backends = self._deps.backends
-        if notice.target_name:
-            backend = backends.find(notice.target_name)
-        else:
-            backend = backends.find_address(notice.target)
-        if backend is None or backend.record.service != call.service:
+    def _find_holder(self, call: DirectCall, copy: MovedCopy) -> Backend | None:
+        """Return the engine that holds a copy, None if it is not known."""
+        backend = self._deps.backends.find_identity(copy.target)
+        if backend is None or copy.target.service != call.service:
             return None
-        return backend if backend.record.address == notice.target else None
+        return backend if backend.record.address == copy.address else None
 
     def _is_gone(self, backend: Backend, call: DirectCall) -> bool:
         """Return whether a back end gets no calls, not even a moved one.
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -244,6 +244,7 @@
             address=self._engine.address,
             service=self._location.service,
             failure_domain=self._location.failure_domain,
+            boot=self._reading.boot,
         )
 
     def _handle_engine_lost(self, error: BackendCutError) -> None:
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Sequence
 
 from . import gen_wire as wire
+from .backendstate import BackendIdentity
 from .clock import Clock, RandomSource
 from .codec import Message
-from .errors import BackendCutError, ErrorKind, NotRunError
+from .errors import BackendCutError, ErrorKind, NotRunError, WireError
 from .expectedends import ExpectedEnds
 from .logs import log_decision, log_event
 from .metrics import Metrics
@@ -66,6 +67,7 @@
         self._expected_ends = ExpectedEnds()
         self._mean_copy_seconds = _INITIAL_COPY_SECONDS
         self._reading: EngineReading | None = None
+        self._source_boot = 0
         self._capacity_reply: asyncio.Future[list[MoveTarget]] | None = None
         self._target_reply: asyncio.Future[wire.TargetTold] | None = None
         # Names of generations that need no further move.
@@ -97,6 +99,7 @@
         if self._reading is None:
             self._settled.clear()
         self._reading = reading
+        self._source_boot = reading.boot
         may_move = not self._stopping and not self.moving
         if reading.state.leaving and reading.runs and may_move:
             self._move_task = spawn(self._move_all(), 'moves')
@@ -121,23 +124,13 @@
             self._target_reply.set_result(message)
 
     def _handle_capacity(self, message: wire.RoomTold) -> None:
+        targets = _read_targets(self._location.service, message)
         # An entry that has just started knows no engines yet; wait for another
         # entry's reply.
-        if not message.engines:
+        if not targets:
             return
         if self._capacity_reply is not None and not self._capacity_reply.done():
-            self._capacity_reply.set_result(
-                [
-                    MoveTarget(
-                        each.address,
-                        each.failure_domain,
-                        each.free_tokens,
-                        each.receiving,
-                        each.name,
-                    )
-                    for each in message.engines
-                ]
-            )
+            self._capacity_reply.set_result(targets)
 
     async def _move_all(self) -> None:
         """Move generations one at a time until none is left."""
@@ -245,8 +238,11 @@
     async def _still_takes_calls(self, target: MoveTarget) -> bool:
         """Return whether an engine takes calls; True if no entry answers."""
         self._target_reply = asyncio.get_running_loop().create_future()
+        identity = target.identity
         self._ask_entries(
-            wire.TargetAsk(self._location.service, target.address, target.name)
+            wire.TargetAsk(
+                identity.service, target.address, identity.name, identity.boot
+            )
         )
         try:
             async with asyncio.timeout(_TARGET_REPLY_TIMEOUT_SECONDS):
@@ -279,7 +275,10 @@
                 source=self._engine.address,
                 handle=handle,
                 target=address,
-                target_name=target.name if target else '',
+                target_name=target.identity.name if target else '',
+                service=self._location.service,
+                source_boot=self._source_boot,
+                target_boot=target.identity.boot if target else 0,
             )
         )
 
@@ -297,6 +296,27 @@
         )
 
 
+def _read_targets(service: str, message: wire.RoomTold) -> list[MoveTarget]:
+    """Return the engines that an entry named completely."""
+    targets: list[MoveTarget] = []
+    for each in message.engines:
+        try:
+            identity = BackendIdentity(service, each.name, each.boot)
+        except WireError as error:
+            log_event('move_target_refused', address=each.address, why=error)
+            continue
+        targets.append(
+            MoveTarget(
+                identity,
+                each.address,
+                each.failure_domain,
+                each.free_tokens,
+                each.receiving,
+            )
+        )
+    return targets
+
+
 def _is_already_complete(error: Exception) -> bool:
     """Return whether an error says that the generation is complete."""
     kind = getattr(error, 'kind', None)
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -8,14 +8,15 @@
 
 from . import gen_wire as wire
 from .backendset import BackendSet
-from .backendstate import Backend, BackendRecord
+from .backendstate import Backend, BackendIdentity, BackendRecord
 from .clock import Clock
 from .codec import Message
 from .enginereports import state_from_report
 from .entrycount import EntryCount
+from .errors import WireError
 from .link import Link
 from .logs import log_event
-from .moves import MoveNotice, MoveNotices
+from .moves import MovedCopy, MoveNotice, MoveNotices
 from .peerlink import PeerConnector, PeerLink
 from .routes import TableHolder
 
@@ -151,9 +152,11 @@
                 _free_tokens(backend),
                 backend.record.address in receiving,
                 backend.name,
+                backend.record.boot,
             )
             for backend in self._backends.usable(service)
-            if _has_slot(backend)
+            if backend.record.identity is not None
+            and _has_slot(backend)
             and self.may_receive(backend)
             and not backend.seconds_until_call(now)
         ]
@@ -170,6 +173,7 @@
             failure_domain=found.failure_domain,
             slots=engine.slots,
             cold_seconds=_ANNOUNCED_COLD_SECONDS,
+            boot=found.boot,
         )
         is_new = self._backends.announce(record, self._clock.monotonic())
         if is_new:
@@ -300,28 +304,27 @@
             case wire.EngineFound():
                 self.register_engine(message)
             case wire.RunMoved():
-                self._notices.post(
-                    MoveNotice(
-                        message.attempt,
-                        message.source,
-                        message.handle,
-                        message.target,
-                        message.target_name,
-                    )
-                )
+                self._notices.post(_read_notice(message))
             case _:
                 self._handle_other(message, link)
 
     def _answer_target_query(self, query: wire.TargetAsk, link: Link) -> None:
         """Tell whether an engine takes calls, unless it is not known here."""
-        backend = (
-            self._backends.find(query.name)
-            if query.name
-            else self._backends.find_address(query.address)
+        if query.name and self._backends.find(query.name) is None:
+            return
+        link.send(
+            wire.TargetTold(
+                query.address, self._takes_calls(query), query.name, query.boot
+            )
         )
-        if backend is not None:
-            usable = backend in self._backends.usable(query.service)
-            link.send(wire.TargetTold(query.address, usable))
+
+    def _takes_calls(self, query: wire.TargetAsk) -> bool:
+        try:
+            identity = BackendIdentity(query.service, query.name, query.boot)
+        except WireError:
+            return False
+        backend = self._backends.find_identity(identity)
+        return backend in self._backends.usable(query.service)
 
     def _handle_report(self, address: str, report: wire.EngineReport) -> None:
         now = self._clock.monotonic()
@@ -346,6 +349,21 @@
             )
 
 
+def _read_notice(message: wire.RunMoved) -> MoveNotice:
+    """Convert a notice; a copy whose target is not named counts for none."""
+    copy = None
+    if message.handle:
+        try:
+            target = BackendIdentity(
+                message.service, message.target_name, message.target_boot
+            )
+        except WireError as error:
+            log_event('move_refused', 'WARNING', why=error)
+        else:
+            copy = MovedCopy(message.handle, target, message.target)
+    return MoveNotice(message.attempt, message.source, copy)
+
+
 def _is_silent(link: PeerLink) -> bool:
     return link.silence > _SILENT_SECONDS
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -181,6 +181,19 @@
     """
     service: str
     failure_domain: str
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of its process this is; 0 if the sender does not know it.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of its process this is; 0 if the sender does not know it.
+    """
 
 
 class EngineReport(Struct, array_like=True):
@@ -345,6 +358,19 @@
     """
     The engine's name; empty if the sender does not state it.
     """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the engine this is; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the engine this is; 0 from older processes.
+    """
 
 
 class Failed(Struct, array_like=True):
@@ -854,6 +880,42 @@
     """
     Its name; empty if the sender does not know it.
     """
+    service: (
+        Annotated[
+            str,
+            Meta(description='Service of both engines; empty from older processes.'),
+        ]
+        | UnsetType
+    ) = ''
+    """
+    Service of both engines; empty from older processes.
+    """
+    source_boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the source made the copy; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the source made the copy; 0 from older processes.
+    """
+    target_boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the target holds the copy; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the target holds the copy; 0 from older processes.
+    """
 
 
 class SettingsPull(Struct, array_like=True):
@@ -942,6 +1004,19 @@
     """
     The engine's name; empty if unknown.
     """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the engine is meant; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the engine is meant; 0 from older processes.
+    """
 
 
 class TargetTold(Struct, array_like=True):
@@ -954,6 +1029,31 @@
     host:port
     """
     takes_calls: bool
+    name: (
+        Annotated[
+            str,
+            Meta(
+                description='Name of the engine that was asked about; empty from older processes.'
+            ),
+        ]
+        | UnsetType
+    ) = ''
+    """
+    Name of the engine that was asked about; empty from older processes.
+    """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Its start that was asked about; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Its start that was asked about; 0 from older processes.
+    """
 
 
 class Tokens(Struct, array_like=True):
--- a/primrosewood/movableengine.py
+++ b/primrosewood/movableengine.py
@@ -17,11 +17,14 @@
     ----------
     leaves_in
         Seconds until the engine is gone, None when it does not say.
+    boot
+        Identifies the start of the engine's process, 0 when it does not say.
     """
 
     state: EngineState
     runs: tuple[EngineRun, ...] = ()
     leaves_in: float | None = None
+    boot: int = 0
 
 
 class MovableEngine(Protocol):
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -11,11 +11,14 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
+from .backendstate import BackendIdentity
+
 __all__ = (
     'EngineRun',
     'MoveNotice',
     'MoveNotices',
     'MoveTarget',
+    'MovedCopy',
     'choose_move_target',
     'plan_moves',
 )
@@ -56,37 +59,51 @@
     ----------
     receiving
         Whether another engine is copying a generation to it.
-    name
-        Its name, empty if unknown.
     """
 
+    identity: BackendIdentity
     address: str
     failure_domain: str
     free_tokens: int
     receiving: bool = False
-    name: str = ''
 
 
 @dataclass(frozen=True, slots=True)
-class MoveNotice:
-    """Where a generation was moved; an empty handle means that it was not.
+class MovedCopy:
+    """Copy of a generation, at which its stream goes on.
 
     Attributes
     ----------
-    source, target
-        Engines as ``host:port``.
     handle
-        Identifies the copy; issued by the source.
-    target_name
-        Name of the target, empty if unknown.  Another engine may have its
-        address by now.
+        Identifies the copy; issued by the engine that made it.
+    target
+        Engine that holds it.
+    address
+        Address of that engine when it got the copy.
+    """
+
+    handle: str
+    target: BackendIdentity
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class MoveNotice:
+    """Where a generation was moved, or that it was not.
+
+    Attributes
+    ----------
+    name
+        Name of the generation.
+    source
+        Address of the engine that it ran on.
+    copy
+        None if it was not moved.
     """
 
     name: str
     source: str
-    handle: str = ''
-    target: str = ''
-    target_name: str = ''
+    copy: MovedCopy | None = None
 
 
 def plan_moves(
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -121,13 +121,13 @@
     zone: NonEmptyText
     slots: Annotated[int, msgspec.Meta(ge=1)]
     state: Literal['ready', 'draining']
+    # Start time in Unix milliseconds; distinguishes two processes that
+    # registered under the same name, one after the other.
+    born: Annotated[int, msgspec.Meta(ge=1)]
     # Version of its software.
     version: str = ''
     # Remaining warm-up time when the record was written.
     cold_remaining_ms: NonNegativeFloat = 0
-    # Start time in Unix milliseconds; distinguishes two processes that
-    # registered under the same name, one after the other.
-    born: int = 0
 
 
 class _RolloutOrder(msgspec.Struct):
@@ -208,6 +208,8 @@
         record = _BACKEND_DECODER.decode(stored)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise WireError(str(error)) from error
+    if not name:
+        raise WireError('the back end has no name')
     return BackendRecord(
         name=name,
         service=record.service,
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -288,6 +288,8 @@
     # Prompt tokens of the first request in the queue.
     next_token: int = 0
     state: str = 'ready'
+    # Start time in Unix milliseconds.
+    born: int = 0
     # Time until the engine is taken away, None if it has given no notice.
     leaves_ms: float | None = None
     # A row for each generation past prefill: name, tokens in the KV cache,
@@ -370,6 +372,7 @@
             ),
             runs=runs,
             leaves_in=leaves_in and leaves_in / _MS_PER_SECOND,
+            boot=report.born,
         )
 
     async def identify(self) -> str:
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -302,7 +302,7 @@
                 progress.call, backend_attempt.backend
             )
         notice = await self._await_notice(progress, backend_attempt.backend)
-        if notice is None or not notice.handle:
+        if notice is None or notice.copy is None:
             return self._restart_generation(progress, backend_attempt, error)
         progress.possible_runs = max(1, progress.possible_runs)
         last_event = progress.order.last
@@ -310,16 +310,17 @@
             'resumed',
             request=progress.call.name,
             source=notice.source,
-            endpoint=notice.target,
+            endpoint=notice.copy.target.name,
+            boot=notice.copy.target.boot,
             last_event=last_event,
             silence=progress.silence(self._deps.clock.monotonic()),
             why=error,
         )
         self._deps.metrics.count('resumed')
-        backend = await self._placement.find_resuming(progress, notice)
+        backend = await self._placement.find_resuming(progress, notice.copy)
         return BackendAttempt(
             backend,
-            Resumption(notice.source, notice.handle, last_event),
+            Resumption(notice.source, notice.copy.handle, last_event),
         )
 
     def _restart_generation(
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -13,7 +13,16 @@
 
 from aiohttp import web
 
-__all__ = ('EngineStandIn', 'KvCopyStore', 'RecordedCall', 'ServiceStandIn')
+__all__ = (
+    'BORN',
+    'EngineStandIn',
+    'KvCopyStore',
+    'RecordedCall',
+    'ServiceStandIn',
+)
+
+# Start of a back end in Unix milliseconds, unless a test gives another one.
+BORN = 1_790_000_000_000
 
 _ATTEMPT_HEADER = 'Primrosewood-Attempt-Id'
 _SEAL_HEADER = 'Primrosewood-Response-Seal'
@@ -179,6 +188,8 @@
 
     Attributes
     ----------
+    born
+        Unix milliseconds of its start, as in its record.
     leaves_ms
         Notice that an engine about to leave states in its report, in
         milliseconds; None for an engine that stays.
@@ -199,6 +210,7 @@
         """Create an engine without generations."""
         super().__init__(name)
         self.address = address
+        self.born = BORN
         self.leaves_ms: float | None = None
         self.powered = True
         self.events = 20
@@ -243,6 +255,7 @@
         ]
         report = {
             'state': 'ready' if self.leaves_ms is None else 'draining',
+            'born': self.born,
             'queued': 0,
             'running': len(runs),
             'kv_used': sum(run_report[1] for run_report in runs),
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,7 +13,7 @@
 import fire
 from aiohttp import web
 
-from .backends import EngineStandIn, KvCopyStore, ServiceStandIn
+from .backends import BORN, EngineStandIn, KvCopyStore, ServiceStandIn
 from .store import StoreStandIn
 
 __all__ = ('Fleet', 'make_record', 'make_route')
@@ -70,6 +70,7 @@
         'zone': 'd1',
         'slots': 8,
         'state': 'ready',
+        'born': BORN,
         **fields,
     }
 
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -109,6 +109,7 @@
             'zone': 'd1',
             'slots': 1,
             'state': 'ready',
+            'born': 1771910575727,
         }
         await stand_in.store.put('servers/i', json.dumps(record).encode())
         runner = web.AppRunner(stand_in.make_app(), shutdown_timeout=0.1)
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -19,7 +19,13 @@
 from primrosewood.movableengine import EngineLocation, EngineReading
 from primrosewood.moves import EngineRun
 
-CAPACITY_REPLY = wire.RoomTold([wire.EngineRoom('b:1', 'd1', 20_000)])
+
+def make_room(address, free_tokens, boot=1):
+    """Return the free memory of an engine whose name is its address."""
+    return wire.EngineRoom(address, 'd1', free_tokens, name=address, boot=boot)
+
+
+CAPACITY_REPLY = wire.RoomTold([make_room('b:1', 20_000)])
 EMPTY_REPLY = wire.RoomTold([])
 
 
@@ -46,7 +52,9 @@
                 self.keeper.handle(answer, None)
         if isinstance(message, wire.TargetAsk):
             takes_calls = message.address != self.leaving
-            told = wire.TargetTold(message.address, takes_calls)
+            told = wire.TargetTold(
+                message.address, takes_calls, message.name, message.boot
+            )
             self.keeper.handle(told, None)
 
     def send_to_some(self, message, limit, exclude=None):
@@ -66,6 +74,7 @@
     """An engine with scripted generations and failures."""
 
     address = 'a:1'
+    boot = 5
 
     def __init__(self, *runs):
         self.runs = list(runs)
@@ -82,7 +91,7 @@
             raise BackendPausedError(ErrorKind.overloaded, retry_seconds=3)
         state = EngineState(total_tokens=30_000, leaving=self.leaving)
         leaves_in = 2.0 if self.leaving else None
-        return EngineReading(state, tuple(self.runs), leaves_in)
+        return EngineReading(state, tuple(self.runs), leaves_in, self.boot)
 
     async def identify(self):
         return 'i-a'
@@ -189,8 +198,8 @@
         self.server.answers = [
             wire.RoomTold(
                 [
-                    wire.EngineRoom('full:1', 'd1', 25_000),
-                    wire.EngineRoom('b:1', 'd1', 20_000),
+                    make_room('full:1', 25_000),
+                    make_room('b:1', 20_000),
                 ]
             )
         ]
@@ -207,8 +216,8 @@
         self.server.answers = [
             wire.RoomTold(
                 [
-                    wire.EngineRoom('leaves:1', 'd1', 25_000, name='i-l'),
-                    wire.EngineRoom('b:1', 'd1', 20_000, name='i-b'),
+                    make_room('leaves:1', 25_000),
+                    make_room('b:1', 20_000),
                 ]
             )
         ]
@@ -223,6 +232,33 @@
         }
         self.assertEqual({'b:1'}, last_targets)
 
+    async def test_targets_without_an_identity(self):
+        """Guards against a stream that goes on at whatever has an address."""
+        self.server.answers = [
+            wire.RoomTold(
+                [
+                    wire.EngineRoom('nameless:1', 'd1', 29_000, boot=1),
+                    make_room('bootless:1', 28_000, boot=0),
+                    make_room('b:1', 20_000),
+                ]
+            )
+        ]
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+        self.assertEqual({'b:1'}, {each[1] for each in self.engine.copies})
+        moved = [
+            each
+            for each in self.server.broadcasts
+            if isinstance(each, wire.RunMoved)
+        ]
+        self.assertEqual(
+            {('s', 'b:1', 1, FakeEngine.boot)},
+            {
+                (e.service, e.target_name, e.target_boot, e.source_boot)
+                for e in moved
+            },
+        )
+
     async def test_capacity_is_queried_for_each_generation(self):
         """Other engines leave at the same time and take up free capacity.
 
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+from msgspec import structs
+
 from primrosewood import gen_wire as wire
 from primrosewood.backendset import BackendSet
 from primrosewood.backendstate import BackendRecord
@@ -13,6 +15,7 @@
 from primrosewood.moves import MoveNotices
 
 _ENGINES = 31
+_BOOT = 7
 _FOUND = wire.EngineFound('i-new', '10.1.1.99:80', 's', 'd1')
 
 
@@ -56,13 +59,14 @@
         # Past the time in which removals count as the work of an outage.
         self.backends.record_store_result(True, -60.0)
         self.connector = _FakeConnector()
+        self.notices = mock.Mock(spec=MoveNotices)
         tables = mock.Mock()
         tables.engine_traits.return_value = mock.Mock(slots=24)
         tables.list_engine_services.return_value = ['s']
         self.view = EngineView(
             backends=self.backends,
             tables=tables,
-            notices=MoveNotices(),
+            notices=self.notices,
             entries=entries,
             connector=self.connector,
             clock=SystemClock(),
@@ -71,7 +75,7 @@
         )
         for number in range(_ENGINES):
             record = BackendRecord(
-                f'i-{number}', 's', f'10.1.1.{number}:80', 'd1', 24
+                f'i-{number}', 's', f'10.1.1.{number}:80', 'd1', 24, boot=_BOOT
             )
             self.backends.apply_record(record, 0.0)
         self.view.update()
@@ -119,6 +123,76 @@
         self.assertTrue(self.view.send_to_one(_FOUND))
 
 
+class TargetQueryTest(_EngineViewCase):
+    """Whether an engine takes calls, asked right before a last copy."""
+
+    def query(self, service='s', name='i-5', boot=_BOOT):
+        link = mock.Mock()
+        address = '10.1.1.5:80'
+        query = wire.TargetAsk(service, address, name, boot)
+        self.connector.find('10.1.1.0').receive(query, link)
+        return [each.args[0].takes_calls for each in link.send.call_args_list]
+
+    def test_engine_that_takes_calls(self):
+        self.assertEqual([True], self.query())
+
+    def test_other_back_ends_at_its_address(self):
+        """Guards against a copy for an engine of another name or start."""
+        self.assertEqual([False], self.query(boot=_BOOT - 1))
+        self.assertEqual([False], self.query(service='registry'))
+        self.assertEqual([False], self.query(boot=0))
+        self.assertEqual([False], self.query(name=''))
+
+    def test_engine_that_is_not_known_here(self):
+        self.assertEqual([], self.query(name='i-99'))
+
+
+class OfferedEngineTest(_EngineViewCase):
+    """Which engines an entry offers as targets of moves."""
+
+    def test_engines_are_offered_with_their_identity(self):
+        """Guards against targets that are known by their address only."""
+        self.view.register_engine(_FOUND)
+        offered = self.view.engines_with_capacity('s')
+        self.assertEqual(_ENGINES, len(offered))
+        self.assertEqual({_BOOT}, {each.boot for each in offered})
+        found = structs.replace(_FOUND, name='i-newer', boot=8)
+        self.view.register_engine(found)
+        offered = self.view.engines_with_capacity('s')
+        self.assertIn(
+            ('i-newer', 8), {(each.name, each.boot) for each in offered}
+        )
+
+
+class MovedCopyTest(_EngineViewCase):
+    """Notices of moves, as processes beside engines send them."""
+
+    def receive(self, **fields):
+        self.notices.post.reset_mock()
+        moved = wire.RunMoved(
+            attempt='r', source='10.1.1.0:80', handle='h', target='10.1.1.5:80'
+        )
+        moved = structs.replace(moved, **fields)
+        self.connector.find('10.1.1.0').receive(moved, None)
+        return self.notices.post.call_args.args[0].copy
+
+    def test_copy_with_its_holder(self):
+        copy = self.receive(service='s', target_name='i-5', target_boot=_BOOT)
+        holder = self.backends.find_identity(copy.target)
+        self.assertEqual(('h', 'i-5'), (copy.handle, holder.name))
+
+    def test_copy_without_a_complete_identity(self):
+        """Guards against whatever back end has the address by now."""
+        complete = {'service': 's', 'target_name': 'i-5', 'target_boot': _BOOT}
+        for missing, empty in (
+            ('service', ''),
+            ('target_name', ''),
+            ('target_boot', 0),
+        ):
+            with self.subTest(missing):
+                self.assertIsNone(self.receive(**{**complete, missing: empty}))
+
+
 class ReceivingEngineTest(_EngineViewCase):
     """Which engines an entry offers to those that leave at the same time."""
 
--- a/tests/test_fleet_start.py
+++ b/tests/test_fleet_start.py
@@ -227,6 +227,7 @@
                 'slots': 24,
                 'state': 'ready',
                 'cold_remaining_ms': 0,
+                'born': 1771910575727,
                 'sequence': sequence,
             }
             stored = json.dumps(document).encode()
--- a/tests/test_leaving_together.py
+++ b/tests/test_leaving_together.py
@@ -10,7 +10,9 @@
 from itertools import count
 from random import Random
 
-from primrosewood.moves import EngineRun, MoveTarget, choose_move_target
+from primrosewood.moves import EngineRun, choose_move_target
+
+from .movetargets import make_target
 
 _DOMAINS = 5
 _STAYING = 26
@@ -101,7 +103,7 @@
             self.lost += len(runs)
         elif runs:
             answer = [
-                MoveTarget(
+                make_target(
                     target.address,
                     target.domain,
                     target.free_tokens(now),
@@ -161,14 +163,14 @@
 
     def test_engine_that_receives_a_copy_is_used_if_alone(self):
         run = EngineRun('r', 3000, 9)
-        busy = MoveTarget('busy', 'd1', 20_000, receiving=True)
-        full = MoveTarget('full', 'd1', 1000)
+        busy = make_target('busy', 'd1', 20_000, receiving=True)
+        full = make_target('full', 'd1', 1000)
         self.assertEqual(busy, choose_move_target(run, [busy, full], 'd1'))
 
     def test_idle_engine_elsewhere_on_short_notice(self):
         run = EngineRun('r', 3000, 9)
-        near = MoveTarget('near', 'd1', 20_000, receiving=True)
-        far = MoveTarget('far', 'd2', 9000)
+        near = make_target('near', 'd1', 20_000, receiving=True)
+        far = make_target('far', 'd2', 9000)
         chosen = choose_move_target(run, [near, far], 'd1', short_notice=True)
         self.assertEqual(far, chosen)
 
--- a/tests/test_many_backends.py
+++ b/tests/test_many_backends.py
@@ -31,6 +31,7 @@
         'slots': 8,
         'state': 'ready',
         'cold_remaining_ms': 0,
+        'born': 1771910575727,
         'sequence': revision,
         **fields,
     }
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -8,16 +8,21 @@
 import asyncio
 import unittest
 
+from primrosewood.backendstate import BackendIdentity
+from primrosewood.errors import WireError
 from primrosewood.moves import (
     EngineRun,
+    MovedCopy,
     MoveNotice,
     MoveNotices,
-    MoveTarget,
     choose_move_target,
     plan_moves,
 )
 
+from .movetargets import make_target
+
 RUN = EngineRun('r', 4000, 10)
+_COPY = MovedCopy('h', BackendIdentity('s', 'i-b', 1), 'b:1')
 
 
 class PlanTest(unittest.TestCase):
@@ -47,9 +52,9 @@
         memory, where the copies queued on its link.
         """
         targets = [
-            MoveTarget(f't{n}', 'd1', 20_000 - n * 500) for n in range(6)
+            make_target(f't{n}', 'd1', 20_000 - n * 500) for n in range(6)
         ]
-        targets.append(MoveTarget('full', 'd1', 6000))
+        targets.append(make_target('full', 'd1', 6000))
         chosen = {
             choose_move_target(RUN, targets, 'd1', draw / 10).address
             for draw in range(10)
@@ -58,36 +63,46 @@
         self.assertNotIn('full', chosen)
 
     def test_same_domain_is_preferred_unless_much_fuller(self):
-        near = MoveTarget('near', 'd1', 8000)
-        far = MoveTarget('far', 'd2', 15_000)
+        near = make_target('near', 'd1', 8000)
+        far = make_target('far', 'd2', 15_000)
         self.assertEqual(
             'near', choose_move_target(RUN, [near, far], 'd1').address
         )
-        farther = MoveTarget('far', 'd2', 25_000)
+        farther = make_target('far', 'd2', 25_000)
         self.assertEqual(
             'far', choose_move_target(RUN, [near, farther], 'd1').address
         )
 
     def test_same_domain_is_preferred_on_short_notice(self):
         """Seven streams, 1.5 s of notice, 0.5 s a copy to another domain."""
-        near = MoveTarget('near', 'd1', 5000)
-        far = MoveTarget('far', 'd2', 25_000)
+        near = make_target('near', 'd1', 5000)
+        far = make_target('far', 'd2', 25_000)
         chosen = choose_move_target(RUN, [near, far], 'd1', short_notice=True)
         self.assertEqual('near', chosen.address)
         chosen = choose_move_target(RUN, [far], 'd1', short_notice=True)
         self.assertEqual('far', chosen.address)
 
     def test_no_target_has_enough_memory(self):
-        tight = MoveTarget('near', 'd1', 4100)
+        tight = make_target('near', 'd1', 4100)
         self.assertIsNone(choose_move_target(RUN, [tight], 'd1'))
 
 
+class IdentityTest(unittest.TestCase):
+    """Which start of which back end holds a copy."""
+
+    def test_incomplete_identities(self):
+        """Guards against an empty field that matches any back end."""
+        for fields in (('', 'i-b', 1), ('s', '', 1), ('s', 'i-b', 0)):
+            with self.subTest(fields), self.assertRaises(WireError):
+                BackendIdentity(*fields)
+
+
 class MoveNoticesTest(unittest.IsolatedAsyncioTestCase):
     """Notices and interruptions arrive in either order."""
 
     def setUp(self):
         self.notices = MoveNotices()
-        self.notice = MoveNotice('r', 'a:1', 'h', 'b:1')
+        self.notice = MoveNotice('r', 'a:1', _COPY)
 
     async def test_notice_before_interruption(self):
         self.notices.post(self.notice)
@@ -123,6 +138,6 @@
 
     async def test_notices_of_other_entries_are_bounded(self):
         for number in range(2000):
-            self.notices.post(MoveNotice(str(number), 'a:1', 'h', 'b:1'))
+            self.notices.post(MoveNotice(str(number), 'a:1', _COPY))
         self.assertIsNone(await self.notices.wait('0', 'a:1', 0))
         self.assertIsNotNone(await self.notices.wait('1999', 'a:1', 0))
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -155,18 +155,31 @@
     def test_missing_and_invalid_fields(self):
         invalid_values = {
             'service': 4,
-            'address': 'nowhere',
             'zone': None,
             'slots': 0,
             'state': 'asleep',
             'born': '2026',
+            'address': 'nowhere',
         }
         for name, value in invalid_values.items():
             with self.subTest(name), self.assertRaises(WireError):
                 parse_backend(
                     'i', json.dumps({**BACKEND_RECORD, name: value}).encode()
                 )
-        for name in ('service', 'address', 'zone', 'slots', 'state'):
+        with self.assertRaises(WireError):
+            parse_backend(
+                'i', json.dumps({**BACKEND_RECORD, 'born': 0}).encode()
+            )
+        with self.assertRaises(WireError):
+            parse_backend('', json.dumps(BACKEND_RECORD).encode())
+        for name in (
+            'service',
+            'address',
+            'zone',
+            'slots',
+            'state',
+            'born',
+        ):
             incomplete = {
                 key: BACKEND_RECORD[key]
                 for key in BACKEND_RECORD
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from primrosewood.backendset import BackendSet
-from primrosewood.backendstate import BackendRecord
+from primrosewood.backendstate import BackendIdentity, BackendRecord
 from primrosewood.backpressure import AnswerNotice
 from primrosewood.balancing import LeastCostBalancer
 from primrosewood.callplacement import (
@@ -30,7 +30,7 @@
     UnreachableError,
 )
 from primrosewood.metrics import Metrics
-from primrosewood.moves import MoveNotice, MoveNotices
+from primrosewood.moves import MovedCopy, MoveNotice, MoveNotices
 from primrosewood.relay import Relay, RelayDependencies
 from primrosewood.repeatbudget import RepeatRule
 from primrosewood.routes import (
@@ -47,6 +47,7 @@
 UNREACHABLE = UnreachableError(ErrorKind.no_endpoint)
 CUT = BackendCutError('cut')
 HANG = 'hang'
+_BOOT = 7
 
 
 class ScriptedReply:
@@ -101,10 +102,15 @@
     return b'id: %d\ndata: x\n\n' % number
 
 
-def make_notice(backend_attempt, target, target_name=''):
-    """Return the notice that a stream was moved off its engine."""
+def make_notice(backend_attempt, target, service='s', name='', boot=_BOOT):
+    """Return the notice that a stream was moved off its engine.
+
+    The target has the name in its address, if no other name is given.
+    """
     source = backend_attempt.backend.record.address
-    return MoveNotice('ab12', source, 'h', target, target_name)
+    name = name or target.partition(':')[0]
+    identity = BackendIdentity(service, name, boot)
+    return MoveNotice('ab12', source, MovedCopy('h', identity, target))
 
 
 class _RelayTestCase(unittest.IsolatedAsyncioTestCase):
@@ -118,7 +124,7 @@
         entries = EntryCount(1)
         self.backends = BackendSet(entries)
         for name in ('e1', 'e2', 'e3'):
-            record = BackendRecord(name, 's', f'{name}:80', 'd1', 8)
+            record = BackendRecord(name, 's', f'{name}:80', 'd1', 8, boot=_BOOT)
             self.backends.apply_record(record, self.clock.monotonic())
         self.notices = MoveNotices()
         self.transport = ScriptedTransport()
@@ -542,7 +548,6 @@
         The generation was copied to another engine, which sends the last event
         again and continues.  The caller gets each event once.
         """
-        self.notices.post(MoveNotice('ab12', 'e1:80', 'h', 'e2:80'))
         call = self.make_call(RouteKind.streaming)
         self.transport.script.extend(
             (
@@ -610,7 +615,7 @@
             target.unusable_since = now - seconds
             self.transport.backend_attempts.clear()
             self.sink = Sink()
-            notice = partial(make_notice, target='e2:80', target_name='e2')
+            notice = partial(make_notice, target='e2:80')
             found = await self.fail_resumption(notice)
             self.assertEqual(resumed, min(1, found))
 
@@ -618,9 +623,13 @@
         """Guards against a stream that a back end of another service runs."""
         registry = BackendRecord('r1', 'registry', 'e4:80', 'd1', 8, boot=9)
         self.backends.apply_record(registry, self.clock.monotonic())
-        for name in ('', 'e4'):
+        for identity in (
+            {'name': 'e4'},
+            {'name': 'r1', 'boot': 9},
+            {'name': 'r1', 'boot': 9, 'service': 'registry'},
+        ):
             resumed = await self.fail_resumption(
-                partial(make_notice, target='e4:80', target_name=name)
+                partial(make_notice, target='e4:80', **identity)
             )
             self.assertEqual(0, resumed)
             self.sink = Sink()
@@ -628,14 +637,23 @@
     async def test_address_that_another_engine_has_taken(self):
         """Guards against an engine that does not hold the copy."""
         resumed = await self.fail_resumption(
-            partial(make_notice, target='e2:80', target_name='e-gone')
+            partial(make_notice, target='e2:80', name='e-gone')
+        )
+        self.assertEqual(0, resumed)
+
+    async def test_engine_that_was_started_again(self):
+        """Guards against a process of the same name that has no copies."""
+        resumed = await self.fail_resumption(
+            partial(make_notice, target='e2:80', boot=_BOOT - 1)
         )
         self.assertEqual(0, resumed)
 
     async def test_notice_of_an_earlier_engine(self):
         """Guards against a late notice that is taken for that of this break."""
         resumed = await self.fail_resumption(
-            lambda _attempt: MoveNotice('ab12', 'e9:80', 'h', 'e2:80')
+            lambda attempt: replace(
+                make_notice(attempt, 'e2:80'), source='e9:80'
+            )
         )
         self.assertEqual(0, resumed)
 
