Tie the notice of a move to one attempt at one engine

A notice that came late was kept, up to 512 of them, and outlived the attempt that it was about: an engine of the same service at the reused address of the first source matched it, a notice that met another source was dropped although its own attempt might still come to it, and one of two notices for a name replaced the other.

Now an attempt follows its own notice while it is in progress: by the name of the generation, the address of its engine and the boot of that engine, which the process beside it takes from the engine's report. What belongs to no attempt in progress is dropped at once, so that nothing is bounded by a number any more. A notice without a boot belongs to none.

With the boot left out of the key, test_notice_of_an_earlier_engine_at_the_address fails; test_notice_without_a_start guards the unknown boot. The tests of MoveNotices are written for the new interface with the same cases; the bound of 512 is replaced by none kept.

--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -361,7 +361,9 @@
             log_event('move_refused', 'WARNING', why=error)
         else:
             copy = MovedCopy(message.handle, target, message.target)
-    return MoveNotice(message.attempt, message.source, copy)
+    return MoveNotice(
+        message.attempt, message.source, message.source_boot, copy
+    )
 
 
 def _is_silent(link: PeerLink) -> bool:
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -8,12 +8,14 @@
 """
 
 import asyncio
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 
-from .backendstate import BackendIdentity
+from .backendstate import BackendIdentity, BackendRecord
 
 __all__ = (
+    'AwaitedNotice',
     'EngineRun',
     'MoveNotice',
     'MoveNotices',
@@ -31,7 +33,6 @@
 # notice. An engine in the same domain is preferred until one elsewhere has this
 # many more free tokens.
 _SAME_DOMAIN_BONUS_TOKENS = 12000
-_MAX_NOTICES = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,14 +96,15 @@
     ----------
     name
         Name of the generation.
-    source
-        Address of the engine that it ran on.
+    source, source_boot
+        Address and start of the engine that it ran on; a start of 0 is unknown.
     copy
         None if it was not moved.
     """
 
     name: str
     source: str
+    source_boot: int
     copy: MovedCopy | None = None
 
 
@@ -183,54 +185,67 @@
 
 
 class MoveNotices:
-    """An entry's notices of moves, matched to interrupted streams.
+    """An entry's notices of moves, matched to the attempts that they end.
 
-    A notice and the interruption that it explains arrive over different
-    connections, in either order.
+    Every entry receives the notices of all moves, mostly of calls of other
+    entries.  Only those that belong to an attempt in progress are kept.
     """
 
     def __init__(self) -> None:
-        """Create a collection without notices."""
-        self._notices: dict[str, MoveNotice] = {}
-        # By name of the generation and address of the source engine.
-        self._waiters: dict[tuple[str, str], asyncio.Future[MoveNotice]] = {}
+        """Start without attempts."""
+        self._awaited: dict[tuple[str, str, int], AwaitedNotice] = {}
 
-    def post(self, notice: MoveNotice) -> None:
-        """Pass a notice to its waiter, or keep it until one comes."""
-        waiter = self._waiters.pop((notice.name, notice.source), None)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(notice)
-            return
-        self._notices[notice.name] = notice
-        # Every entry receives notices of all moves, mostly of calls of other
-        # entries, which nothing here waits for.
-        while len(self._notices) > _MAX_NOTICES:
-            self._notices.pop(next(iter(self._notices)))
-
-    def forget(self, name: str) -> None:
-        """Drop an outdated notice, so that no later interruption uses it."""
-        self._notices.pop(name, None)
-
-    async def wait(
-        self, name: str, source: str, seconds: float
-    ) -> MoveNotice | None:
-        """Return the notice of a stream, None if none arrives in time.
+    @contextmanager
+    def follow(
+        self, name: str, record: BackendRecord
+    ) -> Iterator['AwaitedNotice']:
+        """Accept the notice of one attempt while it is in progress.
 
         Parameters
         ----------
-        source
-            Address of the engine at which the stream broke off; late notices
-            of an engine that ran it before are not about this.
+        name
+            Name of the generation.
+        record
+            Engine that the attempt is sent to.  The notices of other engines,
+            and of other starts of this one, are not about the attempt.
         """
-        notice = self._notices.pop(name, None)
-        if notice is not None and notice.source == source:
-            return notice
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiters[name, source] = waiter
+        key = (name, record.address, record.boot)
+        awaited = AwaitedNotice()
+        self._awaited[key] = awaited
         try:
-            async with asyncio.timeout(seconds):
-                return await waiter
-        except TimeoutError:
-            return None
+            yield awaited
         finally:
-            self._waiters.pop((name, source), None)
+            if self._awaited.get(key) is awaited:
+                self._awaited.pop(key)
+
+    def post(self, notice: MoveNotice) -> None:
+        """Pass a notice to the attempt that it belongs to, or drop it."""
+        key = (notice.name, notice.source, notice.source_boot)
+        awaited = self._awaited.get(key)
+        if awaited is not None and notice.source_boot:
+            awaited.receive(notice)
+
+
+class AwaitedNotice:
+    """The notice that one attempt was moved, if one comes.
+
+    It arrives over another connection than the end of the stream that it
+    explains, before or after it.
+    """
+
+    def __init__(self) -> None:
+        """Start without a notice."""
+        self._received = asyncio.Event()
+        self._notice: MoveNotice | None = None
+
+    def receive(self, notice: MoveNotice) -> None:
+        """Keep a notice; a later one replaces it."""
+        self._notice = notice
+        self._received.set()
+
+    async def wait(self, seconds: float) -> MoveNotice | None:
+        """Return the notice, None if none arrives in time."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._received.wait()
+        return self._notice
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -29,7 +29,7 @@
 from .loglines import PROCESS_STOPPED
 from .logs import log_decision
 from .metrics import Metrics
-from .moves import MoveNotice, MoveNotices
+from .moves import AwaitedNotice, MoveNotice, MoveNotices
 from .timers import ConditionalTimeout, TimerGroup
 
 __all__ = ('Relay', 'RelayDependencies')
@@ -185,20 +185,32 @@
     async def _answer_stream(
         self, progress: CallProgress, sink: AnswerSink
     ) -> None:
-        backend_attempt = self._choose_attempt(progress)
-        while True:
-            try:
-                await self._stream_attempt(progress, backend_attempt, sink)
-            except NotRunError as error:
-                backend_attempt = self._retry_refused(
-                    progress, backend_attempt, error
+        backend_attempt: BackendAttempt | None = self._choose_attempt(progress)
+        while backend_attempt is not None:
+            with self._deps.notices.follow(
+                progress.call.name, backend_attempt.backend.record
+            ) as awaited:
+                backend_attempt = await self._run_attempt(
+                    progress, backend_attempt, sink, awaited
                 )
-            except (BackendCutError, WireError) as error:
-                backend_attempt = await self._continue_stream(
-                    progress, backend_attempt, error
-                )
-            else:
-                return
+
+    async def _run_attempt(
+        self,
+        progress: CallProgress,
+        backend_attempt: BackendAttempt,
+        sink: AnswerSink,
+        awaited: AwaitedNotice,
+    ) -> BackendAttempt | None:
+        """Return the attempt that follows this one, None if it is complete."""
+        try:
+            await self._stream_attempt(progress, backend_attempt, sink)
+        except NotRunError as error:
+            return self._retry_refused(progress, backend_attempt, error)
+        except (BackendCutError, WireError) as error:
+            return await self._continue_stream(
+                progress, backend_attempt, error, awaited
+            )
+        return None
 
     async def _stream_attempt(
         self,
@@ -207,9 +219,6 @@
         sink: AnswerSink,
     ) -> None:
         call = progress.call
-        # The notice of an earlier move must not be taken for that of a later
-        # broken connection.
-        self._deps.notices.forget(call.name)
         progress.head_received = False
         with self._placement.reserve(progress, backend_attempt) as reservation:
             async with self._deps.transport.send(
@@ -295,13 +304,16 @@
         progress: CallProgress,
         backend_attempt: BackendAttempt,
         error: Exception,
+        awaited: AwaitedNotice,
     ) -> BackendAttempt:
         """Return the attempt that continues a stream that was cut."""
         if progress.broke_off_at_begin:
             self._placement.record_cut_at_begin(
                 progress.call, backend_attempt.backend
             )
-        notice = await self._await_notice(progress, backend_attempt.backend)
+        notice = await self._await_notice(
+            progress, backend_attempt.backend, awaited
+        )
         if notice is None or notice.copy is None:
             return self._restart_generation(progress, backend_attempt, error)
         progress.possible_runs = max(1, progress.possible_runs)
@@ -351,7 +363,10 @@
         return self._choose_attempt(progress)
 
     async def _await_notice(
-        self, progress: CallProgress, backend: Backend
+        self,
+        progress: CallProgress,
+        backend: Backend,
+        awaited: AwaitedNotice,
     ) -> MoveNotice | None:
         traits = self._placement.engine_traits(progress.call.service)
         if traits is None or not traits.moves:
@@ -361,9 +376,7 @@
             seconds = _SHORT_NOTICE_SECONDS
         elif backend.stopping:
             seconds = _LEAVING_NOTICE_SECONDS
-        return await self._deps.notices.wait(
-            progress.call.name, backend.record.address, seconds
-        )
+        return await awaited.wait(seconds)
 
     def _record_answer(
         self, progress: CallProgress, backend: Backend, status: int
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -7,8 +7,9 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
-from primrosewood.backendstate import BackendIdentity
+from primrosewood.backendstate import BackendIdentity, BackendRecord
 from primrosewood.errors import WireError
 from primrosewood.moves import (
     EngineRun,
@@ -102,29 +103,50 @@
 
     def setUp(self):
         self.notices = MoveNotices()
-        self.notice = MoveNotice('r', 'a:1', _COPY)
+        self.notice = MoveNotice('r', 'a:1', 5, _COPY)
+        self.record = BackendRecord('i-a', 's', 'a:1', 'd1', 8, boot=5)
 
     async def test_notice_before_interruption(self):
-        self.notices.post(self.notice)
-        self.assertEqual(self.notice, await self.notices.wait('r', 'a:1', 0))
+        with self.notices.follow('r', self.record) as awaited:
+            self.notices.post(self.notice)
+            self.assertEqual(self.notice, await awaited.wait(0))
 
     async def test_interruption_before_notice(self):
-        waiting = asyncio.create_task(self.notices.wait('r', 'a:1', 5))
-        await asyncio.sleep(0)
-        self.notices.post(self.notice)
-        self.assertEqual(self.notice, await waiting)
+        with self.notices.follow('r', self.record) as awaited:
+            waiting = asyncio.create_task(awaited.wait(5))
+            await asyncio.sleep(0)
+            self.notices.post(self.notice)
+            self.assertEqual(self.notice, await waiting)
 
     async def test_no_notice(self):
-        self.assertIsNone(await self.notices.wait('r', 'a:1', 0.01))
+        with self.notices.follow('r', self.record) as awaited:
+            self.assertIsNone(await awaited.wait(0.01))
 
     async def test_notice_of_another_engine(self):
         """Guards against a notice of an engine that ran the stream before."""
-        self.notices.post(self.notice)
-        self.assertIsNone(await self.notices.wait('r', 'c:1', 0.01))
-        waiting = asyncio.create_task(self.notices.wait('r', 'c:1', 0.05))
-        await asyncio.sleep(0)
-        self.notices.post(self.notice)
-        self.assertIsNone(await waiting)
+        other = replace(self.record, name='i-c', address='c:1')
+        with self.notices.follow('r', other) as awaited:
+            self.notices.post(self.notice)
+            self.assertIsNone(await awaited.wait(0.01))
+            waiting = asyncio.create_task(awaited.wait(0.05))
+            await asyncio.sleep(0)
+            self.notices.post(self.notice)
+            self.assertIsNone(await waiting)
+
+    async def test_notice_of_an_earlier_engine_at_the_address(self):
+        """Guards against the notice of an engine whose address is used again."""
+        newcomer = replace(self.record, name='i-new', boot=9)
+        with self.notices.follow('r', newcomer) as awaited:
+            self.notices.post(self.notice)
+            self.notices.post(replace(self.notice, source_boot=0))
+            self.assertIsNone(await awaited.wait(0.01))
+
+    async def test_notice_without_a_start(self):
+        """Guards against an unknown start that matches another unknown one."""
+        announced = replace(self.record, boot=0)
+        with self.notices.follow('r', announced) as awaited:
+            self.notices.post(replace(self.notice, source_boot=0))
+            self.assertIsNone(await awaited.wait(0.01))
 
     async def test_outdated_notice_is_dropped(self):
         """A stream is moved, its notice arrives late, and the target dies.
@@ -132,12 +154,25 @@
         The outdated notice would resume the stream from a copy that was
         already consumed.
         """
+        with self.notices.follow('r', self.record):
+            self.notices.post(self.notice)
         self.notices.post(self.notice)
-        self.notices.forget('r')
-        self.assertIsNone(await self.notices.wait('r', 'a:1', 0.01))
-
-    async def test_notices_of_other_entries_are_bounded(self):
+        with self.notices.follow('r', self.record) as awaited:
+            self.assertIsNone(await awaited.wait(0.01))
+
+    async def test_notices_of_two_engines(self):
+        """Guards against a notice that replaces that of another attempt."""
+        target = replace(self.record, name='i-b', address='b:1', boot=6)
+        with self.notices.follow('r', self.record) as awaited:
+            self.notices.post(self.notice)
+            self.notices.post(MoveNotice('r', 'b:1', 6))
+            self.assertEqual(self.notice, await awaited.wait(0))
+        with self.notices.follow('r', target) as awaited:
+            self.assertIsNone(await awaited.wait(0.01))
+
+    async def test_notices_of_other_entries_are_not_kept(self):
+        """Guards against memory that grows with the moves of all entries."""
         for number in range(2000):
-            self.notices.post(MoveNotice(str(number), 'a:1', _COPY))
-        self.assertIsNone(await self.notices.wait('0', 'a:1', 0))
-        self.assertIsNotNone(await self.notices.wait('1999', 'a:1', 0))
+            self.notices.post(MoveNotice(str(number), 'a:1', 5, _COPY))
+        with self.notices.follow('1999', self.record) as awaited:
+            self.assertIsNone(await awaited.wait(0))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -107,10 +107,11 @@
 
     The target has the name in its address, if no other name is given.
     """
-    source = backend_attempt.backend.record.address
+    source = backend_attempt.backend.record
     name = name or target.partition(':')[0]
     identity = BackendIdentity(service, name, boot)
-    return MoveNotice('ab12', source, MovedCopy('h', identity, target))
+    copy = MovedCopy('h', identity, target)
+    return MoveNotice('ab12', source.address, source.boot, copy)
 
 
 class _RelayTestCase(unittest.IsolatedAsyncioTestCase):
@@ -696,7 +697,7 @@
         reply = ScriptedReply()
 
         async def stall():
-            await self.notices.wait('other', 'a:1', 5)
+            await asyncio.sleep(5)
             yield b''
 
         reply.parts = stall
