Stop a stream for its last copy only if an entry admits the target

Right before the last copy, for which a stream stops, the process beside the leaving engine asks some entries whether the target still takes calls. A late reply about another target counted as yes, and so did no reply within 0.1 s: a stream could stop for an engine that nobody would send it to, and was lost.

Now only a reply that names the target and its boot counts, and without one the stream runs on at its engine while another target is tried. The reply is awaited for 0.25 s, as that on free capacity; the generation goes on meanwhile.

test_no_entry_says_that_the_target_takes_calls, test_late_reply_about_another_target and test_reply_that_names_no_engine failed before.

--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 
 from . import gen_wire as wire
 from .backendstate import BackendIdentity
@@ -20,7 +21,7 @@
 # How long to wait for an entry to report engines with free capacity.
 _CAPACITY_REPLY_TIMEOUT_SECONDS = 0.25
 # The same for whether one engine still takes calls; the generation runs on.
-_TARGET_REPLY_TIMEOUT_SECONDS = 0.1
+_TARGET_REPLY_TIMEOUT_SECONDS = 0.25
 _MAX_TARGETS_TRIED = 3
 # By then the engine and its possible targets have reported their load again.
 _RETRY_DELAY_SECONDS = 0.05
@@ -69,7 +70,7 @@
         self._reading: EngineReading | None = None
         self._source_boot = 0
         self._capacity_reply: asyncio.Future[list[MoveTarget]] | None = None
-        self._target_reply: asyncio.Future[wire.TargetTold] | None = None
+        self._target_reply = _TargetReply()
         # Names of generations that need no further move.
         self._settled: set[str] = set()
         self._move_task: asyncio.Task | None = None
@@ -120,8 +121,8 @@
         """Handle an entry's answer to a query of this mover."""
         if isinstance(message, wire.RoomTold):
             self._handle_capacity(message)
-        elif self._target_reply is not None and not self._target_reply.done():
-            self._target_reply.set_result(message)
+        else:
+            self._target_reply.handle(message)
 
     def _handle_capacity(self, message: wire.RoomTold) -> None:
         targets = _read_targets(self._location.service, message)
@@ -236,22 +237,20 @@
         return handle
 
     async def _still_takes_calls(self, target: MoveTarget) -> bool:
-        """Return whether an engine takes calls; True if no entry answers."""
-        self._target_reply = asyncio.get_running_loop().create_future()
+        """Return whether an entry says that an engine takes calls."""
         identity = target.identity
+        self._target_reply = _TargetReply(identity)
         self._ask_entries(
             wire.TargetAsk(
                 identity.service, target.address, identity.name, identity.boot
             )
         )
-        try:
-            async with asyncio.timeout(_TARGET_REPLY_TIMEOUT_SECONDS):
-                reply = await self._target_reply
-        except TimeoutError:
-            return True
-        finally:
-            self._target_reply = None
-        return reply.takes_calls or reply.address != target.address
+        takes_calls = await self._target_reply.wait(
+            _TARGET_REPLY_TIMEOUT_SECONDS
+        )
+        if takes_calls is None:
+            log_event('no_entry_answered', 'WARNING', target=identity.name)
+        return bool(takes_calls)
 
     def _report_move(
         self,
@@ -296,6 +295,32 @@
         )
 
 
+class _TargetReply:
+    """Reply of the first entry that says whether one engine takes calls.
+
+    Replies about other engines, which come late, do not count.
+    """
+
+    def __init__(self, asked: BackendIdentity | None = None) -> None:
+        self._asked = asked
+        self._received = asyncio.Event()
+        self._takes_calls: bool | None = None
+
+    def handle(self, message: wire.TargetTold) -> None:
+        asked = self._asked
+        if asked is None or self._received.is_set():
+            return
+        if (message.name, message.boot) == (asked.name, asked.boot):
+            self._takes_calls = message.takes_calls
+            self._received.set()
+
+    async def wait(self, seconds: float) -> bool | None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._received.wait()
+        return self._takes_calls
+
+
 def _read_targets(service: str, message: wire.RoomTold) -> list[MoveTarget]:
     """Return the engines that an entry named completely."""
     targets: list[MoveTarget] = []
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -5,6 +5,8 @@
 from random import Random
 from unittest import mock
 
+from msgspec import structs
+
 from primrosewood import gen_wire as wire
 from primrosewood.backendstate import EngineState
 from primrosewood.clock import SystemClock
@@ -40,6 +42,7 @@
         self.peers = 2
         self.sent = []
         self.leaving = ''
+        self.change_reply = lambda told: [told]
 
     def send_to(self, peer, message):
         self.sent.append((peer, message))
@@ -55,7 +58,8 @@
             told = wire.TargetTold(
                 message.address, takes_calls, message.name, message.boot
             )
-            self.keeper.handle(told, None)
+            for reply in self.change_reply(told):
+                self.keeper.handle(reply, None)
 
     def send_to_some(self, message, limit, exclude=None):
         self.limited.append(message)
@@ -232,6 +236,36 @@
         }
         self.assertEqual({'b:1'}, last_targets)
 
+    async def check_that_streams_run_on(self, change_reply):
+        """Check that no stream stops for a target, and that both move later."""
+        self.server.answers = [CAPACITY_REPLY]
+        self.server.change_reply = change_reply
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.engine.copies) > 2)
+        self.assertFalse(any(last for _name, _to, last in self.engine.copies))
+        self.assertEqual([], self.server.moves())
+        self.server.change_reply = lambda told: [told]
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+
+    async def test_no_entry_says_that_the_target_takes_calls(self):
+        """Guards against a stream that stops for an engine nobody knows."""
+        await self.check_that_streams_run_on(lambda _told: [])
+
+    async def test_late_reply_about_another_target(self):
+        """Guards against a reply to an earlier query that admits this one."""
+        await self.check_that_streams_run_on(
+            lambda told: [
+                structs.replace(told, name='earlier:1', address='earlier:1'),
+                structs.replace(told, boot=told.boot + 1),
+            ]
+        )
+
+    async def test_reply_that_names_no_engine(self):
+        """Guards against a reply of an older process, by its address only."""
+        await self.check_that_streams_run_on(
+            lambda told: [wire.TargetTold(told.address, True)]
+        )
+
     async def test_targets_without_an_identity(self):
         """Guards against a stream that goes on at whatever has an address."""
         self.server.answers = [
