Apply a reported limit only to the start of the back end that stated it

Entries tell each other the rate limits that back ends state, by the name of the back end. A late report on its earlier process could set a limit for, or lift one of, the process that runs under the name now, and more calls were sent than it takes.

The report carries the boot now, and another one is ignored; so is one without a boot, from an older process.

--- a/primrosewood/calllimits.py
+++ b/primrosewood/calllimits.py
@@ -80,7 +80,8 @@
     def merge_from_peer(self, report: wire.LimitTold) -> None:
         """Apply another entry's report of a limit and of its calls."""
         backend = self._backends.find(report.endpoint)
-        if backend is not None:
+        # A later start of the back end has not stated any limit.
+        if backend is not None and backend.record.boot == report.boot:
             self._update_limit(
                 backend, report.rate, report.age_ms / _MS_PER_SECOND
             )
@@ -133,6 +134,7 @@
                 rate=limit.rate,
                 age_ms=int((now - limit.reported_at) * _MS_PER_SECOND),
                 calls=calls,
+                boot=backend.record.boot,
             )
         )
         if not delivered:
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -307,6 +307,19 @@
     """
     How long the first of the waiting generations has waited for its first event, in milliseconds.
     """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Start of the engine; 0 if it is that of an earlier report on the link, or not known.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Start of the engine; 0 if it is that of an earlier report on the link, or not known.
+    """
 
 
 class EngineRetired(Struct, array_like=True):
@@ -323,6 +336,19 @@
     """
     Seconds until the engine is stopped; negative if it is not to be stopped after all.
     """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the engine is to be stopped; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the engine is to be stopped; 0 from older processes.
+    """
 
 
 class EngineRoom(Struct, array_like=True):
@@ -459,6 +485,19 @@
     """
     Calls made to it that were not yet reported.
     """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the back end this is about; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the back end this is about; 0 from older processes.
+    """
 
 
 class Load(Struct, array_like=True):
--- a/tests/test_calllimits.py
+++ b/tests/test_calllimits.py
@@ -128,7 +128,7 @@
         self.reports = []
         entries = EntryCount(5)
         backends = BackendSet(entries)
-        record = BackendRecord('i-1', 's', 'h:1', 'd1', 8)
+        record = BackendRecord('i-1', 's', 'h:1', 'd1', 8, boot=7)
         self.backend = backends.apply_record(record, self.clock.monotonic())
         self.limits = CallLimits(
             backends, entries, self.clock, random.Random(1), self.send
@@ -146,8 +146,10 @@
     def announce_limit(self, rate):
         self.limits.record_answer(self.backend, rate, self.clock.monotonic())
 
-    def receive_report(self, rate, age_ms, calls=0):
-        self.limits.merge_from_peer(wire.LimitTold('i-1', rate, age_ms, calls))
+    def receive_report(self, rate, age_ms, calls=0, boot=7):
+        self.limits.merge_from_peer(
+            wire.LimitTold('i-1', rate, age_ms, calls, boot)
+        )
 
     async def test_calls_are_reported_to_other_entries(self):
         self.announce_limit(2.0)
@@ -193,6 +195,15 @@
         await asyncio.sleep(0.05)
         self.assertEqual(1, len(self.reports))
 
+    async def test_report_on_an_earlier_start(self):
+        """Guards against a limit that is lifted for another process."""
+        self.announce_limit(2.0)
+        before = self.wait()
+        self.receive_report(None, age_ms=0, boot=6)
+        self.receive_report(None, age_ms=0, boot=0)
+        self.assertGreater(self.wait(), 0)
+        self.assertLessEqual(self.wait(), before)
+
     async def test_report_for_an_unknown_back_end(self):
         self.limits.merge_from_peer(wire.LimitTold('i-2', 2.0, 0, 1))
         self.assertEqual(0, self.wait())
