Apply reports and retirements only to the engine that they are about

The process beside an engine reports by its address, and was told by its address that a roll-out stops its engine. Where an engine is replaced, the report of the one before (leaving, full) counted for the one that had registered there, so that it got no calls until the next report; and the new engine's streams could be moved off for an order about the old one.

Reports state the boot of the engine, once a second and as it changes, since it takes 9 of some 37 bytes; an entry applies them to the back end of that boot at the address. A report without any (of an older process, or beside an engine that never answered) applies if only one back end is registered there. A retirement names the boot and is ignored by another engine. find_address is gone: nothing chooses by an address alone.

--- a/bench/herd.py
+++ b/bench/herd.py
@@ -398,7 +398,7 @@
         self._send_report_if_due(now, engine)
 
     def _send_report_if_due(self, now: float, engine: _Engine) -> None:
-        report = engine.reports.make(len(self._entries))
+        report = engine.reports.make(len(self._entries), now)
         if self._mode.min_interval_seconds:
             due = now >= engine.reported_at + self._mode.min_interval_seconds
         else:
--- a/primrosewood/backendindex.py
+++ b/primrosewood/backendindex.py
@@ -29,10 +29,9 @@
         """Return the back end with a name, None if unknown."""
         return self._by_name.get(name)
 
-    def find_address(self, address: str) -> Backend | None:
-        """Return the latest back end at an address, None if unknown."""
-        bucket = self._by_address.get(address)
-        return max(bucket.values(), key=_registration_order) if bucket else None
+    def list_address(self, address: str) -> list[Backend]:
+        """Return the back ends at an address, of which one runs at most."""
+        return list(self._by_address.get(address, {}).values())
 
     def list_service(self, service: str) -> list[Backend]:
         """Return the back ends of a service."""
--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -197,9 +197,9 @@
             return None
         return backend
 
-    def find_address(self, address: str) -> Backend | None:
-        """Return the latest back end at an address, None if unknown."""
-        return self._index.find_address(address)
+    def list_address(self, address: str) -> list[Backend]:
+        """Return the back ends that have registered with an address."""
+        return self._index.list_address(address)
 
     def list_service(self, service: str) -> list[Backend]:
         """Return all back ends of a service, stopping ones included."""
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -108,8 +108,8 @@
 
     @property
     def last_report(self) -> wire.EngineReport | None:
-        """Report that was last broadcast, None before the first one."""
-        return self._reports.last
+        """Last report, for a new link; None before the first one."""
+        return self._reports.make_greeting()
 
     def stop_moves(self) -> None:
         """Start no further move, because this process is about to exit."""
@@ -149,7 +149,7 @@
             case wire.LimitTold() | wire.RolloutTold() | wire.CrashTold():
                 self._broadcast(message, link)
             case wire.EngineRetired():
-                self._retire(message.seconds)
+                self._retire(message)
 
     async def run_identification(self) -> None:
         """Keep the engine identified, for announcements, until cancelled.
@@ -181,12 +181,16 @@
         state = self._reading.state
         return not (state.running or state.queued or self._waiting.any)
 
-    def _retire(self, seconds: float) -> None:
+    def _retire(self, message: wire.EngineRetired) -> None:
         """Move all generations away, as a roll-out will stop the engine.
 
         Entries repeat the message, so that its effect ends with the last entry
-        that carries out the roll-out.
+        that carries out the roll-out.  Another engine may have the address of
+        the one that is meant.
         """
+        if self._reading is None or self._reading.boot != message.boot:
+            return
+        seconds = message.seconds
         now = self._clock.monotonic()
         if not self._is_retired(now) and seconds > 0:
             log_decision('engine_retired', stops_in=seconds)
@@ -303,6 +307,7 @@
             freed_per_second=self._memory_release.tokens_per_second,
             waited=self._waiting.longest_wait(started_at),
         )
+        self._reports.record_boot(reading.boot)
         self._reports.record_state(state, started_at)
         self._send_report_if_due(force=leaving and not was_leaving)
         if leaving and not was_leaving:
@@ -323,7 +328,7 @@
 
     def _send_report_if_due(self, force: bool = False) -> None:
         now = self._clock.monotonic()
-        report = self._reports.make(self.server.peers)
+        report = self._reports.make(self.server.peers, now)
         if force or self._reports.is_due(report, now):
             self._reports.record_sent(report, now)
             self._broadcast(report)
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -10,6 +10,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from msgspec import structs
+
 from . import gen_wire as wire
 from .backendstate import EngineState
 
@@ -27,6 +29,8 @@
 _BURST_REPORTS = 12
 # Time from a call's announcement until the engine's own figures include it.
 _ANNOUNCEMENT_SETTLE_SECONDS = 0.015
+# The start of the engine, which takes 9 bytes, is stated again after this time.
+_BOOT_REPEAT_SECONDS = 1.0
 # A change of used memory is reported from this share of the total.
 _MEMORY_CHANGE_SHARE = 0.06
 _MICROSECONDS_PER_SECOND = 1e6
@@ -55,6 +59,9 @@
         self.last: wire.EngineReport | None = None
         self._last_sent_at = float('-inf')
         self._state = EngineState()
+        self._boot = 0
+        self._stated_boot = 0
+        self._boot_stated_at = float('-inf')
         self._copying_to = ''
         self._announced: deque[_AnnouncedCall] = deque()
         self._credit: float = _BURST_REPORTS
@@ -82,11 +89,21 @@
         ):
             self._announced.popleft()
 
+    def record_boot(self, boot: int) -> None:
+        """Record which start of the engine the figures are of."""
+        self._boot = boot
+
     def record_copy(self, target: str) -> None:
         """Record to which engine a generation is being copied, if any."""
         self._copying_to = target
 
-    def make(self, entries: int) -> wire.EngineReport:
+    def make_greeting(self) -> wire.EngineReport | None:
+        """Return the last report for a new link, None before the first one."""
+        if self.last is None:
+            return None
+        return structs.replace(self.last, boot=self._boot)
+
+    def make(self, entries: int, now: float) -> wire.EngineReport:
         """Return the current report for a number of connected entries."""
         state = self._state
         announced_tokens = sum(each.prompt_tokens for each in self._announced)
@@ -104,14 +121,18 @@
             queued_tokens=state.queued_tokens,
             freed_per_second=int(state.freed_per_second),
             waited_ms=int(state.waited * _MS_PER_SECOND),
+            boot=self._boot if self._must_state_boot(now) else 0,
         )
 
     def is_due(self, report: wire.EngineReport, now: float) -> bool:
         """Return whether a report is worth sending and the rate allows it."""
         if now >= self._last_sent_at + _heartbeat_seconds(report.entries):
             return True
-        if self.last is not None and not _is_significant_change(
-            report, self.last
+        is_known_start = self._boot == self._stated_boot
+        if (
+            self.last is not None
+            and is_known_start
+            and not _is_significant_change(report, self.last)
         ):
             return False
         self._refill_credit(report.entries, now)
@@ -126,6 +147,12 @@
         self._refill_credit(report.entries, now)
         self._credit = max(-_BURST_REPORTS, self._credit - 1)
         self.last, self._last_sent_at = report, now
+        if report.boot:
+            self._stated_boot, self._boot_stated_at = report.boot, now
+
+    def _must_state_boot(self, now: float) -> bool:
+        repeated_at = self._boot_stated_at + _BOOT_REPEAT_SECONDS
+        return self._boot != self._stated_boot or now >= repeated_at
 
     def _is_more_loaded(self, report: wire.EngineReport) -> bool:
         last = self.last
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -94,6 +94,8 @@
         self._links: dict[str, PeerLink] = {}
         self._reported_entries: dict[str, int] = {}
         self._copies: dict[str, _ReportedCopy] = {}
+        # Start of the engine beside each process, once it was reported.
+        self._boots: dict[str, int] = {}
         self._unlisted_since: dict[str, float] = {}
         self._update_scheduled = False
         self._rechecked_at = float('-inf')
@@ -133,6 +135,7 @@
                 self._links.pop(address).stop()
                 self._reported_entries.pop(address, None)
                 self._copies.pop(address, None)
+                self._boots.pop(address, None)
         for link in self._links.values():
             link.check_silence()
 
@@ -220,7 +223,7 @@
         if link is not None:
             link.send(wire.CallPlaced(name, unread_tokens, whole_tokens))
 
-    def retire(self, address: str, seconds: float) -> None:
+    def retire(self, backend: Backend, seconds: float) -> None:
         """Tell the endpoint process of an engine to move its generations away.
 
         Parameters
@@ -228,9 +231,9 @@
         seconds
             Time until the engine is stopped; negative if it is not to stop.
         """
-        link = self._links.get(address)
+        link = self._links.get(backend.record.address)
         if link is not None:
-            link.send(wire.EngineRetired(seconds))
+            link.send(wire.EngineRetired(seconds, backend.record.boot))
 
     def handle_announcement(self, message: Message, _link: Link) -> None:
         """Handle the announcement of an engine by its endpoint process.
@@ -326,6 +329,16 @@
         backend = self._backends.find_identity(identity)
         return backend in self._backends.usable(query.service)
 
+    def _find_reported(self, address: str, boot: int) -> Backend | None:
+        """Return the engine that a report is about, None if it is not known.
+
+        A process may report for a moment on the engine that had the address
+        before the one that has registered there.
+        """
+        boot = boot or self._boots.get(address, 0)
+        self._boots[address] = boot
+        return _find_start(self._backends.list_address(address), boot)
+
     def _handle_report(self, address: str, report: wire.EngineReport) -> None:
         now = self._clock.monotonic()
         # Not kept with the back end: the record of an engine that leaves may be
@@ -333,7 +346,7 @@
         self._copies[address] = _ReportedCopy(report.copying_to, now)
         self._reported_entries[address] = report.entries
         self._entries.update(max(self._reported_entries.values()), now)
-        backend = self._backends.find_address(address)
+        backend = self._find_reported(address, report.boot)
         if backend is None:
             return
         if backend.state is None:
@@ -349,6 +362,13 @@
             )
 
 
+def _find_start(backends: list[Backend], boot: int) -> Backend | None:
+    """Return the back end of a start; the only one if the start is unknown."""
+    if boot:
+        backends = [each for each in backends if each.record.boot == boot]
+    return backends[0] if len(backends) == 1 else None
+
+
 def _read_notice(message: wire.RunMoved) -> MoveNotice:
     """Convert a notice; a copy whose target is not named counts for none."""
     copy = None
--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -79,7 +79,7 @@
     random: RandomSource
     metrics: Metrics
     send: Callable[[Message], bool]
-    retire: Callable[[str, float], None]
+    retire: Callable[[Backend, float], None]
 
 
 class RolloutControl:
@@ -270,9 +270,7 @@
                 rollout.due_at - _DECISION_RESERVE_SECONDS - now,
             )
             for backend in self._list_old(service, rollout):
-                self._deps.retire(
-                    backend.record.address, seconds if taking_over else -1.0
-                )
+                self._deps.retire(backend, seconds if taking_over else -1.0)
 
     def _lacks_new(self, service: str, rollout: Rollout) -> bool:
         """Return whether the new back ends cannot take the old ones' calls."""
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -487,12 +487,22 @@
         """
         self.server.answers = [CAPACITY_REPLY]
         await self.wait_for(lambda: self.keeper.last_report)
-        self.keeper.handle(wire.EngineRetired(4.0), None)
+        self.keeper.handle(wire.EngineRetired(4.0, FakeEngine.boot), None)
         await self.wait_for(lambda: len(self.server.moves()) == 2)
         self.assertTrue(self.keeper.last_report.leaving)
-        self.keeper.handle(wire.EngineRetired(-1.0), None)
+        self.keeper.handle(wire.EngineRetired(-1.0, FakeEngine.boot), None)
         await self.wait_for(lambda: not self.keeper.last_report.leaving)
 
+    async def test_other_engine_at_the_address_is_not_retired(self):
+        """Guards against streams that leave an engine no roll-out stops."""
+        await self.wait_for(lambda: self.keeper.last_report is not None)
+        self.server.answers = [CAPACITY_REPLY]
+        for boot in (FakeEngine.boot - 1, 0):
+            self.keeper.handle(wire.EngineRetired(4.0, boot), None)
+        await asyncio.sleep(0.2)
+        self.assertFalse(self.keeper.last_report.leaving)
+        self.assertEqual([], self.server.moves())
+
     async def test_messages_between_entries_are_forwarded(self):
         """Entries have no links to each other; messages are forwarded."""
         query = wire.PairsAsk('entry-2', 7)
--- a/tests/test_enginereports.py
+++ b/tests/test_enginereports.py
@@ -24,26 +24,38 @@
 
     def send_if_due(self, now, entries=4):
         """Send a report if one is due; return whether it was."""
-        report = self.reports.make(entries)
+        report = self.reports.make(entries, now)
         due = self.reports.is_due(report, now)
         if due:
             self.reports.record_sent(report, now)
         return due
 
+    def test_start_of_the_engine_is_stated_once_a_second(self):
+        """Guards against reports that count for the next engine there."""
+        self.reports.record_boot(5)
+        self.assertEqual(5, self.reports.make(4, 0.1).boot)
+        self.assertTrue(self.send_if_due(0.1))
+        self.assertEqual(0, self.reports.make(4, 0.2).boot)
+        self.assertEqual(5, self.reports.make(4, 1.1).boot)
+        self.assertEqual(5, self.reports.make_greeting().boot)
+        self.reports.record_boot(6)
+        self.assertEqual(6, self.reports.make(4, 0.3).boot)
+        self.assertTrue(self.send_if_due(0.3))
+
     def test_announced_call_counts_until_the_engine_shows_it(self):
         """A call in flight is not in the engine's own figures yet."""
         self.reports.announce(3000, 1.0)
-        report = self.reports.make(4)
+        report = self.reports.make(4, 1.0)
         self.assertEqual((1, 3000), (report.running, report.unread_tokens))
         shown = EngineState(running=1, unread_tokens=3000, total_tokens=27_000)
         self.reports.record_state(shown, 1.1)
-        report = self.reports.make(4)
+        report = self.reports.make(4, 1.0)
         self.assertEqual((1, 3000), (report.running, report.unread_tokens))
 
     def test_figures_from_before_a_call_do_not_hide_it(self):
         self.reports.announce(3000, 1.0)
         self.reports.record_state(IDLE, 0.99)
-        self.assertEqual(3000, self.reports.make(4).unread_tokens)
+        self.assertEqual(3000, self.reports.make(4, 1.0).unread_tokens)
 
     def test_reported_at_once_when_a_call_arrives_starts_or_ends(self):
         for now, state in enumerate(
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -123,6 +123,45 @@
         self.assertTrue(self.view.send_to_one(_FOUND))
 
 
+class ReportTest(_EngineViewCase):
+    """To which engine a report of the process at an address applies."""
+
+    def report(self, boot, leaving=False):
+        report = wire.EngineReport(1, 0, 0, 9000, leaving=leaving, boot=boot)
+        self.connector.find('10.1.1.5').receive(report, None)
+
+    def register_successor(self):
+        record = BackendRecord(
+            'i-next', 's', '10.1.1.5:80', 'd1', 24, boot=_BOOT + 1, revision=9
+        )
+        return self.backends.apply_record(record, 0.0)
+
+    def test_report_on_the_engine_before(self):
+        """Guards against an engine that gets no calls as another has left."""
+        successor = self.register_successor()
+        self.report(_BOOT)
+        self.report(0, leaving=True)
+        self.assertIsNone(successor.state)
+        self.assertTrue(self.backends.find('i-5').state.leaving)
+
+    def test_report_on_the_engine_that_took_over(self):
+        self.report(_BOOT)
+        successor = self.register_successor()
+        self.report(_BOOT + 1)
+        self.report(0, leaving=True)
+        self.assertTrue(successor.state.leaving)
+        self.assertFalse(self.backends.find('i-5').state.leaving)
+
+    def test_report_without_a_start(self):
+        """Guards against a report of an older process taken for either."""
+        self.report(0)
+        self.assertIsNotNone(self.backends.find('i-5').state)
+        successor = self.register_successor()
+        self.report(0, leaving=True)
+        self.assertIsNone(successor.state)
+        self.assertFalse(self.backends.find('i-5').state.leaving)
+
+
 class TargetQueryTest(_EngineViewCase):
     """Whether an engine takes calls, asked right before a last copy."""
 
--- a/tests/test_many_backends.py
+++ b/tests/test_many_backends.py
@@ -74,7 +74,7 @@
         for number in range(3000):
             self.apply(make_pair(number, number + 1))
         self.assertEqual(100, len(self.backends.usable('s3')))
-        found = self.backends.find_address('10.0.4.5:80')
+        (found,) = self.backends.list_address('10.0.4.5:80')
         self.assertEqual('b1005', found.name)
 
     def test_links_are_updated_once_for_a_listing(self):
@@ -115,5 +115,6 @@
     def test_record_that_moves_to_another_address(self):
         self.apply(make_pair(1, 1))
         self.apply(make_pair(1, 2, address='10.9.9.9:80'))
-        self.assertIsNone(self.backends.find_address('10.0.0.1:80'))
-        self.assertEqual('b1', self.backends.find_address('10.9.9.9:80').name)
+        self.assertEqual([], self.backends.list_address('10.0.0.1:80'))
+        (found,) = self.backends.list_address('10.9.9.9:80')
+        self.assertEqual('b1', found.name)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -125,7 +125,9 @@
                 random=self.random,
                 metrics=mock.Mock(),
                 send=lambda message: self._tell(number, message),
-                retire=lambda address, seconds: self.retired.add(address),
+                retire=lambda backend, seconds: self.retired.add(
+                    backend.record.address
+                ),
             )
         )
         self.backends[control] = backends
