Admit nobody by an empty key, and only by a bearer key

A configuration that was made from an unset variable has an empty key, or the hash of one, which is well known. A caller without any key was then admitted as that organisation, and on the administration as that operator: a missing header was read as an empty key.

parse_bearer_key returns None for what is no key, and all three interfaces (the platform's callers, the product's own, its administration) refuse that with 401 before any look-up. A tenant without a name makes the table malformed.

--- a/primrosewood/administration.py
+++ b/primrosewood/administration.py
@@ -22,7 +22,7 @@
 from .gen_keys import Keys
 from .gen_process import Limits
 from .httperrors import convert_http_exception, error_response
-from .identity import match_secret
+from .identity import match_secret, parse_bearer_key
 from .logs import log_event
 from .membership import EndpointView
 from .process import log_unexpected_error
@@ -30,7 +30,6 @@
 
 __all__ = ('AdministrationApi',)
 
-_BEARER_PREFIX = 'Bearer '
 _PROPAGATION_TIMEOUT_SECONDS = 1.0
 _PROPAGATION_POLL_SECONDS = 0.02
 _SCHEMA_NAMES = frozenset(('team', 'process', 'keys'))
@@ -242,8 +241,9 @@
         RequestFailedError
             The key is unknown, or its operator has no access to the team.
         """
-        header = request.headers.get('Authorization', '')
-        key = header.removeprefix(_BEARER_PREFIX)
+        key = parse_bearer_key(request.headers.get('Authorization', ''))
+        if key is None:
+            raise RequestFailedError(ErrorKind.unauthenticated)
         operator_name = None
         for name, operator in self._keys.operators.items():
             # Compares every key, so that the response time reveals nothing.
--- a/primrosewood/callers.py
+++ b/primrosewood/callers.py
@@ -23,6 +23,7 @@
 from .gen_caller import ChatRequest, CompletionRequest
 from .gen_process import Limits
 from .httperrors import convert_http_exception, error_response
+from .identity import parse_bearer_key
 from .logs import log_event
 from .metrics import Metrics
 from .process import log_unexpected_error
@@ -32,7 +33,6 @@
 
 __all__ = ('CallerApi',)
 
-_BEARER = 'Bearer '
 _DEFAULT_MAX_TOKENS = 4096
 _MAX_KEY_LENGTH = 200
 _MAX_TIMEOUT_SECONDS = 86_400
@@ -299,10 +299,10 @@
             raise _refusal_before_claim_read(
                 request, ErrorKind.settings_missing
             )
-        header = request.headers.get('Authorization', '')
-        if not header.startswith(_BEARER):
+        key = parse_bearer_key(request.headers.get('Authorization', ''))
+        if key is None:
             raise RequestFailedError(ErrorKind.unauthenticated)
-        return self._store.identify(header.removeprefix(_BEARER))
+        return self._store.identify(key)
 
     def _deadline(self, request: web.Request, team: str, service: str) -> float:
         header = request.headers.get('X-Request-Timeout')
--- a/primrosewood/identity.py
+++ b/primrosewood/identity.py
@@ -12,9 +12,11 @@
     'hash_secret',
     'make_identifier',
     'match_secret',
+    'parse_bearer_key',
 )
 
 _IDENTIFIER_BYTES = 8
+_KEY_SCHEME = 'bearer'
 _DIGEST_DIGITS = 32
 _TEMPLATE_PREFIX_CHARACTERS = 48
 
@@ -29,6 +31,18 @@
     return hashlib.sha256(secret.encode()).hexdigest()
 
 
+def parse_bearer_key(header: str) -> str | None:
+    """Return the key in an ``Authorization`` header, None if there is none.
+
+    An empty key is none: its hash is well known, and configurations that were
+    made from an unset variable contain it.
+    """
+    scheme, _space, key = header.partition(' ')
+    if scheme.lower() != _KEY_SCHEME:
+        return None
+    return key.strip() or None
+
+
 def match_secret(secret: str, expected_sha256: str) -> bool:
     """Compare a secret with a stored SHA-256 hash in constant time."""
     return hmac.compare_digest(hash_secret(secret), expected_sha256)
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -102,7 +102,7 @@
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: NonEmptyText
     api_keys: list[str] = []
 
 
--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -12,6 +12,7 @@
 from ..clock import Clock, RandomSource
 from ..directcalls import AnswerHead, DirectCall, Header
 from ..errors import ErrorKind, RequestFailedError
+from ..identity import parse_bearer_key
 from ..logs import log_decision
 from ..metrics import Metrics
 from ..process import log_unexpected_error
@@ -23,7 +24,6 @@
 
 __all__ = ('HttpFrontend', 'answer_readiness_probe')
 
-_BEARER_PREFIX = 'Bearer '
 _DEFAULT_RETRY_SECONDS = 0.5
 # Enough for the largest body that operators allow, 4 MB, over a slow line.
 _BODY_TIMEOUT_SECONDS = 10.0
@@ -386,10 +386,8 @@
     """
     if not table.keys_required:
         return ''
-    authorization = headers.find_header(raw_headers, 'Authorization')
-    organisation = table.organisations.get(
-        authorization.removeprefix(_BEARER_PREFIX).strip()
-    )
+    key = parse_bearer_key(headers.find_header(raw_headers, 'Authorization'))
+    organisation = table.organisations.get(key) if key else None
     if organisation is None and not route.anonymous:
         raise RequestFailedError(ErrorKind.unauthenticated)
     return organisation or ''
