Send nothing to services of which none has a weight

Where all weights of a split route are 0, calls went to its last service, to which operators had given no share. No sentence of the users' pages allows that ("versions split routes" names shares, and nothing of a route whose shares are all 0), so the caller gets 503 at once: nothing has run, and a later version may name a share. The same for a target without a name.

test_targets_without_weight asserted the old behaviour; test_no_target_has_a_weight takes its place with the same case and two more, and RouteTest.test_weights shows it to callers.

--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -176,7 +176,9 @@
             headers.find_header(raw_headers, headers.DEADLINE)
         )
         deadline = arrived + route.timeout
-        target = choose_target(route, self._random.random())
+        service = choose_target(route, self._random.random())
+        if service is None:
+            raise RequestFailedError(ErrorKind.no_endpoint)
         return DirectCall(
             name=attempt_id,
             method=request.method,
@@ -184,7 +186,7 @@
             headers=headers.filter_caller_headers(raw_headers),
             body=body,
             route=route,
-            service=target,
+            service=service,
             organisation=organisation,
             arrived=arrived,
             deadline=deadline,
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -216,21 +216,22 @@
         return True
 
 
-def choose_target(route: Route, draw: float) -> str:
+def choose_target(route: Route, draw: float) -> str | None:
     """Return the service that gets a call, chosen by the targets' weights.
 
+    None if no target has a name and a weight.
+
     Parameters
     ----------
-    route
-        Route with at least one target.
     draw
         Random number in [0, 1).
     """
-    weighted = [target for target in route.targets if target.weight > 0]
-    targets = weighted or route.targets
+    targets = [
+        each for each in route.targets if each.service and each.weight > 0
+    ]
     remaining = draw * sum(target.weight for target in targets)
     for target in targets:
         remaining -= target.weight
         if remaining < 0:
             return target.service
-    return targets[-1].service
+    return targets[-1].service if targets else None
--- a/tests/test_empty_values.py
+++ b/tests/test_empty_values.py
@@ -172,6 +172,31 @@
         self.assertEqual(({503}, 503), await self.statuses())
 
 
+class RouteTest(_DiscoveryCase):
+    """Which calls have a route, and which service they are sent to."""
+
+    async def test_weights(self):
+        """Guards against calls to a service that operators gave no share."""
+        for weights, services in (
+            ({'s': 0, 't': 0}, set()),
+            ({'s': 0, 't': 1}, {'t'}),
+            ({'': 1}, set()),
+            ({}, set()),
+        ):
+            split = [
+                {'service': service, 'weight': weights[service]}
+                for service in weights
+            ]
+            route = {**without(_ROUTE, 'service'), 'split': split}
+            self.apply_next_table(routes=[route])
+            self.relay.calls.clear()
+            _keyless, status = await self.statuses()
+            called = {call.service for call in self.relay.calls}
+            with self.subTest(weights):
+                self.assertEqual(services, called)
+                self.assertEqual(200 if services else 503, status)
+
+
 class OwnInterfaceTest(unittest.IsolatedAsyncioTestCase):
     """Who is admitted to the product's own interface and administration."""
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -41,9 +41,16 @@
         ]
         self.assertAlmostEqual(0.1, chosen.count('b') / 2000, delta=0.03)
 
-    def test_targets_without_weight(self):
-        targets = (Target('a', 0), Target('b', 0))
-        self.assertEqual('b', choose_target(make_route('/', targets), 0.5))
+    def test_no_target_has_a_weight(self):
+        """Guards against calls to a service that operators gave no share."""
+        for targets in (
+            (Target('a', 0), Target('b', 0)),
+            (Target('', 1),),
+            (),
+        ):
+            for draw in (0, 0.5, 1 - 2**-53):
+                route = make_route('/', targets)
+                self.assertIsNone(choose_target(route, draw), targets)
 
     def test_services_without_weight_get_nothing(self):
         """Guards against calls to a service that operators gave no share."""
