Warn operators of a table that no longer requires keys

The version that changes whether keys are required is logged as a warning (keys_not_required, keys_required), with the version before it, and each table in force with the number of its keys. A RouteTable that is made without saying so requires keys now; only the adapter's decoder, which reads the absence, opens it.

test_operators_see_that_keys_are_no_longer_required and test_table_without_a_statement_on_keys failed before. The other new tests of ApiKeyTest are rows of docs/DESIGN.md's table that had none; they passed before.

--- a/primrosewood/platform/discovery.py
+++ b/primrosewood/platform/discovery.py
@@ -14,7 +14,7 @@
 from ..kv import KeyValue, Pair
 from ..logs import log_decision, log_event
 from ..rolloutcontrol import RolloutControl
-from ..routes import TableHolder
+from ..routes import RouteTable, TableHolder
 from ..storeview import StoreView
 from . import documents, entrydocuments
 
@@ -121,13 +121,18 @@
         except WireError as error:
             log_event('table_refused', 'ERROR', why=error)
             return
+        replaced = self._tables.table
         if self._tables.replace_if_newer(table):
             log_decision(
                 'table_in_force',
                 version=table.version,
                 revision=pair.revision,
                 routes=len(table.routes),
+                keys=len(table.organisations),
+                keys_required=table.keys_required,
             )
+            if replaced is not None:
+                _log_changed_keys(replaced, table)
             self._on_change()
 
     def _apply_entry_count(self, pair: Pair | None) -> None:
@@ -229,3 +234,14 @@
         self._backends.apply_record(record, now)
         if changed:
             self._on_change()
+
+
+def _log_changed_keys(replaced: RouteTable, table: RouteTable) -> None:
+    """Warn operators of a table that opens all routes, or closes them."""
+    if replaced.keys_required != table.keys_required:
+        log_event(
+            'keys_required' if table.keys_required else 'keys_not_required',
+            'WARNING',
+            version=table.version,
+            before=replaced.version,
+        )
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -157,7 +157,7 @@
     services: Mapping[str, ServiceTraits] = field(default_factory=dict)
     organisations: Mapping[str, str] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
-    keys_required: bool = False
+    keys_required: bool = True
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
--- a/tests/test_empty_values.py
+++ b/tests/test_empty_values.py
@@ -24,11 +24,12 @@
 from primrosewood.identity import hash_secret
 from primrosewood.kv import Pair
 from primrosewood.metrics import Metrics
+from primrosewood.platform import documents
 from primrosewood.platform.discovery import Discovery
 from primrosewood.platform.frontend import (
     HttpFrontend,
 )
-from primrosewood.routes import TableHolder
+from primrosewood.routes import RouteTable, TableHolder
 from primrosewood.settings import SettingsStore
 from primrosewood.stopping import StopWindow
 
@@ -164,6 +165,81 @@
             keyless, _key_holder = await self.statuses()
             self.assertEqual({401}, keyless, keys)
 
+    async def test_organisations_are_absent(self):
+        """The page requires a key only if the table has organisations."""
+        self.apply_table(without(_TABLE, 'tenants'))
+        self.assertEqual(({200}, 200), await self.statuses())
+        self.assertEqual({''}, {call.organisation for call in self.relay.calls})
+
+    async def test_operators_see_that_keys_are_no_longer_required(self):
+        """Guards against routes that are open, which nobody notices."""
+        self.apply_table(_TABLE)
+        with mock.patch('primrosewood.platform.discovery.log_event') as log:
+            self.apply_table({**without(_TABLE, 'tenants'), 'version': 4})
+            log.assert_called_once_with(
+                'keys_not_required', 'WARNING', version=4, before=3
+            )
+            log.reset_mock()
+            self.apply_table({**without(_TABLE, 'tenants'), 'version': 5})
+            log.assert_not_called()
+            self.apply_table({**_TABLE, 'version': 6})
+            log.assert_called_once_with(
+                'keys_required', 'WARNING', version=6, before=5
+            )
+
+    async def test_no_organisation_has_a_key(self):
+        """Guards against a service that is open once its last key is gone."""
+        for tenants in (
+            [],
+            [{'name': 'o1'}],
+            [{'name': 'o1', 'api_keys': []}],
+            [{'name': 'o1', 'api_keys': []}, {'name': 'o2', 'api_keys': []}],
+        ):
+            self.apply_next_table(tenants=tenants)
+            self.assertEqual(({401}, 401), await self.statuses(), tenants)
+
+    async def test_malformed_organisations(self):
+        """Guards against a malformed table that opens the routes."""
+        self.apply_table(_TABLE)
+        for tenants in (
+            None,
+            {},
+            'o1',
+            ['o1'],
+            [{}],
+            [{'name': 'o1', 'api_keys': None}],
+            [{'name': 'o1', 'api_keys': [7]}],
+        ):
+            self.apply_next_table(tenants=tenants)
+            self.assertEqual(({401}, 200), await self.statuses(), tenants)
+
+    async def test_table_without_a_statement_on_keys(self):
+        """Guards against a table made in code that leaves the routes open."""
+        self.tables.replace_if_newer(
+            RouteTable(
+                1, documents.parse_table(json.dumps(_TABLE).encode()).routes
+            )
+        )
+        self.assertEqual(({401}, 401), await self.statuses())
+
+    async def test_anonymous_routes(self):
+        for anonymous, status in (
+            ({}, {401}),
+            ({'anonymous': False}, {401}),
+            ({'anonymous': True}, {200}),
+        ):
+            self.apply_next_table(routes=[{**_ROUTE, **anonymous}])
+            keyless, _key_holder = await self.statuses()
+            self.assertEqual(status, keyless, anonymous)
+
+    async def test_malformed_anonymous_routes(self):
+        """Guards against a route that is open by a value of another type."""
+        self.apply_table(_TABLE)
+        for anonymous in (None, 1, 'yes', 'true', []):
+            route = {**_ROUTE, 'anonymous': anonymous}
+            self.apply_next_table(routes=[route])
+            self.assertEqual(({401}, 200), await self.statuses(), anonymous)
+
     async def test_organisation_without_a_name(self):
         """Guards against a call for whom nobody answers."""
         self.apply_table(
