Refuse a table with a route that matches by an empty field

A route without a host matched requests without a Host header, and one with an empty path prefix all paths of its host, so that calls could reach a service by a field that nobody filled in.

RouteTest.test_malformed_routes failed before. The other new tests of tests/test_empty_values.py give each row of docs/DESIGN.md's table a test: the table, its routes, limits, evacuations, records, what entries have stored, links between processes, the readiness and the metrics address; they passed before.

--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -57,9 +57,9 @@
 
 
 class _Route(msgspec.Struct):
-    name: str
-    host: str
-    path_prefix: str
+    name: NonEmptyText
+    host: NonEmptyText
+    path_prefix: Annotated[str, msgspec.Meta(pattern='^/')]
     route_kind: RouteKind
     timeout_ms: NonNegativeFloat
     # Latency objective, not a limit: a response within it counts as on time.
--- a/tests/test_empty_values.py
+++ b/tests/test_empty_values.py
@@ -17,19 +17,19 @@
 from primrosewood.backendset import BackendSet
 from primrosewood.callers import CallerApi
 from primrosewood.clock import SystemClock
+from primrosewood.codec import serialise_frame
 from primrosewood.directcalls import AnswerHead
 from primrosewood.entrycount import EntryCount
-from primrosewood.errors import RequestFailedError
+from primrosewood.errors import RequestFailedError, WireError
 from primrosewood.gen_keys import Keys
 from primrosewood.identity import hash_secret
 from primrosewood.kv import Pair
+from primrosewood.link import receive_hello
 from primrosewood.metrics import Metrics
 from primrosewood.platform import documents
 from primrosewood.platform.discovery import Discovery
-from primrosewood.platform.frontend import (
-    HttpFrontend,
-)
-from primrosewood.routes import RouteTable, TableHolder
+from primrosewood.platform.frontend import HttpFrontend, answer_readiness_probe
+from primrosewood.routes import CallerLimits, RouteTable, TableHolder
 from primrosewood.settings import SettingsStore
 from primrosewood.stopping import StopWindow
 
@@ -251,6 +251,49 @@
 class RouteTest(_DiscoveryCase):
     """Which calls have a route, and which service they are sent to."""
 
+    async def test_table_is_absent(self):
+        """Guards against calls that no configuration allows yet."""
+        self.assertEqual(({503}, 503), await self.statuses())
+        self.apply_table(None)
+        self.assertEqual(({503}, 503), await self.statuses())
+
+    async def test_table_that_is_gone_or_malformed(self):
+        """Guards against callers without routes, and against other routes."""
+        self.apply_table(_TABLE)
+        for document in (None, b'', b'{}', b'[]', b'{"version": 9, "routes"'):
+            self.apply_table(document)
+            self.assertEqual(({401}, 200), await self.statuses(), document)
+
+    async def test_routes_are_absent_or_empty(self):
+        self.apply_table(without(_TABLE, 'routes'))
+        self.assertEqual(({404}, 404), await self.statuses())
+        self.apply_next_table(routes=[])
+        self.assertEqual(({404}, 404), await self.statuses())
+
+    async def test_malformed_routes(self):
+        """Guards against a route that matches by an empty field."""
+        self.apply_table(_TABLE)
+        for fields in (
+            {'host': ''},
+            {'path_prefix': ''},
+            {'path_prefix': 'x/'},
+            {'name': ''},
+            {'route_kind': ''},
+            {'timeout_ms': None},
+            {'split': [{'service': 't', 'weight': -1}]},
+            {'split': [{'service': 't'}]},
+        ):
+            self.apply_next_table(routes=[{**_ROUTE, **fields}])
+            self.assertEqual(({401}, 200), await self.statuses(), fields)
+            self.assertEqual(({404}, 404), await self.statuses('/y/1'), fields)
+
+    async def test_older_table_after_a_newer_one(self):
+        """Guards against a removed key that a late or repeated read restores."""
+        self.apply_table({**_TABLE, 'version': 8, 'tenants': []}, revision=20)
+        for version, revision in ((3, 10), (7, 30), (8, 31)):
+            self.apply_table({**_TABLE, 'version': version}, revision)
+            self.assertEqual(({401}, 401), await self.statuses())
+
     async def test_weights(self):
         """Guards against calls to a service that operators gave no share."""
         for weights, services in (
@@ -273,6 +316,146 @@
                 self.assertEqual(200 if services else 503, status)
 
 
+class StoredValueTest(_DiscoveryCase):
+    """Which back ends get calls, and by which limits."""
+
+    def usable(self):
+        return [each.name for each in self.backends.usable('s')]
+
+    def test_limits(self):
+        """Guards against a limit of 0 or none for callers' requests."""
+        for limits in ({}, {'limits': {}}):
+            self.apply_next_table(**limits)
+            self.assertEqual(CallerLimits(), self.tables.table.limits)
+        for limits in (
+            None,
+            [],
+            {'max_body_bytes': -1},
+            {'max_header_bytes': ''},
+        ):
+            self.apply_next_table(limits=limits)
+            self.assertEqual(CallerLimits(), self.tables.table.limits)
+
+    def test_evacuations(self):
+        """Guards against calls to a domain whose evacuation is not readable."""
+        self.apply('servers/i-1', _RECORD)
+        self.assertEqual(['i-1'], self.usable())
+        for document in (b'', {}, b'{"state": "back"}', b'\xff', _RECORD):
+            self.apply('op/evacuate/d1', document)
+            self.assertEqual([], self.usable(), document)
+            self.apply('op/evacuate/d1', None)
+            self.assertEqual(['i-1'], self.usable())
+
+    def test_records(self):
+        """Guards against a back end that is known by half of its record."""
+        for document in (
+            None,
+            b'',
+            b'{}',
+            *(without(_RECORD, name) for name in _RECORD),
+            *({**_RECORD, name: ''} for name in _RECORD),
+            *({**_RECORD, name: None} for name in _RECORD),
+            {**_RECORD, 'born': 0},
+        ):
+            self.apply('servers/i-1', _RECORD)
+            self.assertEqual(['i-1'], self.usable())
+            self.apply('servers/i-1', document)
+            self.assertEqual([], self.usable(), document)
+        self.apply('servers/', _RECORD)
+        self.assertEqual([], self.usable())
+
+    def test_number_of_entries(self):
+        """Guards against a whole limit for one entry of an unknown number."""
+        for document in (
+            None,
+            b'',
+            b'{}',
+            b'{"entries": 0, "names": []}',
+            b'{"entries": -4}',
+            b'{"entries": "2"}',
+        ):
+            self.apply('limits/entries', b'{"entries": 5, "names": []}')
+            self.assertEqual(10, self.entries.share_of(50))
+            self.apply('limits/entries', document)
+            self.assertEqual(0, self.entries.share_of(50), document)
+
+    def test_crashes(self):
+        """A call is refused only if a crash is known."""
+        for document in (None, b'', b'{}', b'{"crashes": "all"}', b'[]'):
+            self.discovery.guard.reset_mock()
+            self.apply('limits/crashes', document)
+            (applied,) = self.discovery.guard.apply.call_args.args
+            self.assertEqual(((), {}), (applied.crashes, applied.trials))
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Who may open a link between processes."""
+
+    async def connect(self, presented, expected):
+        hello = wire.Hello(key=presented, process='p', incarnation='i')
+        socket = mock.Mock()
+        socket.recv = mock.AsyncMock(return_value=serialise_frame([hello]))
+        return await receive_hello(socket, expected, 1)
+
+    async def test_peers_without_the_key(self):
+        """Guards against an empty key that opens the links of others."""
+        for presented in ('', 'k', 'secret ', 'Secret'):
+            with self.subTest(presented), self.assertRaises(WireError):
+                await self.connect(presented, 'secret')
+        hello = await self.connect('secret', 'secret')
+        self.assertEqual('p', hello.process)
+
+    async def test_processes_that_have_no_key(self):
+        """Whoever reaches the port is a peer, but not with another key."""
+        self.assertEqual('p', (await self.connect('', '')).process)
+        with self.assertRaises(WireError):
+            await self.connect('secret', '')
+
+
+class OpenAddressTest(unittest.IsolatedAsyncioTestCase):
+    """What is told to whoever reaches an address that asks for no key."""
+
+    async def test_readiness(self):
+        for ready, status in ((True, 200), (False, 503)):
+            response = await answer_readiness_probe(
+                lambda ready=ready: ready, make_mocked_request('GET', '/readyz')
+            )
+            self.assertEqual(status, response.status)
+
+    async def test_metrics_hold_no_names_of_callers(self):
+        """Guards against keys and organisations on the metrics address."""
+        metrics = Metrics()
+        relay = mock.Mock(answer=mock.AsyncMock())
+        tables = TableHolder()
+        tables.replace_if_newer(
+            documents.parse_table(json.dumps(_TABLE).encode())
+        )
+        frontend = HttpFrontend(
+            relay,
+            tables,
+            SystemClock(),
+            random.Random(1),
+            metrics,
+            StopWindow(8, 4),
+        )
+        for key in ('k1', 'never-held'):
+            await frontend.handle(
+                make_mocked_request(
+                    'GET',
+                    '/nowhere/',
+                    headers={
+                        'Host': 'h.example',
+                        'Primrosewood-Attempt-Id': 'ab12',
+                        'Authorization': f'Bearer {key}',
+                    },
+                )
+            )
+        exposed = metrics.expose()
+        for secret in (b'k1', b'never-held', b'o1', b'ab12'):
+            self.assertNotIn(secret, exposed)
+        self.assertIn(b'not_found', exposed)
+
+
 class OwnInterfaceTest(unittest.IsolatedAsyncioTestCase):
     """Who is admitted to the product's own interface and administration."""
 
