Let a test of unframed answers wait until its back end is reached

tests.test_platform_framing.UnframedAnswerTest.test_stream_that_ends_inside_an_event failed in 4 of 12 runs, six at a time ("ClientPayloadError not raised"). Traced with the entry's log: the call was sent 19 ms before the entry read the changed records (event=sent at 25.324, event=endpoint_in at 25.343), to an engine that was still registered. The test waited a second, which is how often records are read.

--- a/tests/test_platform_framing.py
+++ b/tests/test_platform_framing.py
@@ -22,9 +22,11 @@
 
     async def serve_unframed(self, service, body, content_type=''):
         """Replace the back ends of a service by one that closes after a body."""
+        self.reached = 0
 
         async def handle(reader, writer):
             await reader.readuntil(b'\r\n\r\n')
+            self.reached += 1
             writer.write(_HEAD.format(type=content_type).encode() + body)
             await writer.drain()
             writer.close()
@@ -36,12 +38,27 @@
         for name in ('i-1', 'i-2', 'i-desk'):
             await self.register(name, service, address, state='draining')
         await self.register('i-raw', service, address)
-        await asyncio.sleep(1)
+
+    async def call_unframed(self, method, path, **fields):
+        """Call until the entry has found the back end; return that answer.
+
+        The entry reads changed records once a second.
+        """
+        async with asyncio.timeout(10):
+            while True:
+                reached = self.reached
+                try:
+                    answer = await self.call(method, path, **fields)
+                except aiohttp.ClientError:
+                    self.assertGreater(self.reached, reached)
+                    raise
+                if self.reached > reached:
+                    return answer
 
     async def test_plain_answer(self):
         """Guards against a whole answer that is taken for a broken one."""
         await self.serve_unframed('desk', b'whole')
-        response, body = await self.call('GET', '/lookup/')
+        response, body = await self.call_unframed('GET', '/lookup/')
         self.assertEqual((200, b'whole'), (response.status, body))
 
     async def test_stream(self):
@@ -49,7 +66,7 @@
         await self.serve_unframed(
             'model', _EVENTS, 'Content-Type: text/event-stream\r\n'
         )
-        response, body = await self.call(
+        response, body = await self.call_unframed(
             'POST', '/guide/', headers=GENERATION_HEADERS
         )
         self.assertEqual((200, _EVENTS), (response.status, body))
@@ -60,4 +77,6 @@
             'model', _EVENTS + b'id: 4\n', 'Content-Type: text/event-stream\r\n'
         )
         with self.assertRaises(aiohttp.ClientPayloadError):
-            await self.call('POST', '/guide/', headers=GENERATION_HEADERS)
+            await self.call_unframed(
+                'POST', '/guide/', headers=GENERATION_HEADERS
+            )
