Give a test of a late stall time to fall behind

Traced: 2.8 s after the stop 1.2 s are left, of which 0.7 count, and a stream of 20 tokens is admitted only while it still fits. A test process that falls 0.2 s behind sends the call too late, and the entry rightly refuses it: a pause of 0.2, 0.3 or 0.5 s put in before the call gives the same failure each time, one of 0.1 s none.

The entry of this test stops in 8 s now, so that it may fall 4 s behind; the call is admitted as late and stalls as before, and the check is the same. With pauses of 0.5 and 1.5 s it passes; without buffering of late streams it fails as before.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -72,6 +72,8 @@
 
     Attributes
     ----------
+    limits
+        Limits in the settings of all nodes.
     stand_in
         The key-value service.
     engines
@@ -86,6 +88,8 @@
         Stops the first entry.
     """
 
+    limits = LIMITS
+
     async def asyncSetUp(self):
         self.link_port = free_port()
         self.stack = contextlib.AsyncExitStack()
@@ -167,7 +171,7 @@
             link_port=self.link_port,
             link_key='',
             store=self.store_address,
-            limits=LIMITS,
+            limits=self.limits,
             **{
                 'metrics_port': 0,
                 'seeds': [],
--- a/tests/test_stop_bounds.py
+++ b/tests/test_stop_bounds.py
@@ -4,11 +4,12 @@
 import unittest
 
 import aiohttp
+from msgspec import structs
 
 from primrosewood.stopping import StopWindow
 from primrosewood.timers import TimerGroup
 
-from .deployment import GENERATION_HEADERS, Deployment
+from .deployment import GENERATION_HEADERS, LIMITS, Deployment
 from .test_stopping import make_call
 
 
@@ -78,6 +79,10 @@
 class LateStallTest(Deployment):
     """A stream that is admitted late and whose engine is slower than expected."""
 
+    # Time for a test that falls behind: late streams are admitted only while
+    # they still fit.
+    limits = structs.replace(LIMITS, stop_seconds=8)
+
     async def test_engine_that_stalls_after_its_first_event(self):
         """A short stream begins in time, and then its engine stalls.
 
