Let streams of a roll-out's test run as long as they take

Traced with the entry's log: all three streams, the one that began at a new engine too, ended at 5.15 s with kind=generation_lost and no cause, long after they were moved and the roll-out was completed. 70 events with pauses of 0.05 s take 3.5 s on an idle machine and over 5 s on this one, and the route's timeout is 5 s.

--- a/tests/test_platform_rollout.py
+++ b/tests/test_platform_rollout.py
@@ -5,7 +5,7 @@
 
 from standins.backends import ServiceStandIn
 
-from .deployment import GENERATION_HEADERS, Deployment
+from .deployment import GENERATION_HEADERS, Deployment, make_table
 
 _SECONDS = 7
 _STREAM_HEADERS = {**GENERATION_HEADERS, 'Primrosewood-Deadline-Ms': '30000'}
@@ -101,6 +101,11 @@
         They begin on the old engines shortly before these get no more calls,
         and are due to end after the roll-out.
         """
+        # A machine under load takes longer for the events than the route has.
+        table = make_table(2)
+        for route in table['routes']:
+            route['timeout_ms'] = 30_000
+        await self.put('op/config', table)
         old = {name: each.address for name, each in self.engines.items()}
         await self.add_versions('model', old, {})
         for number in (3, 4):
