--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -433,3 +433,17 @@
                 self.assertEqual(401, status)
             self.assertEqual(ran, len(self.service.ran))
             self.assertEqual(200, await self.status('GET', '/open/'))
+
+    async def test_call_that_was_admitted_before(self):
+        """Guards against an answer that is lost as its caller's key goes."""
+        for engine in self.engines.values():
+            engine.events = 100
+        stream = asyncio.create_task(
+            self.call('POST', '/guide/1', headers=GENERATION_HEADERS)
+        )
+        await asyncio.sleep(0.2)
+        await self.revoke_all(9, [])
+        self.assertFalse(stream.done())
+        response, body = await stream
+        self.assertEqual(200, response.status)
+        self.assertIn(b'id: 100\n', body)
