Keep the address of the engine in event=resumed

test_log_names_the_engine_that_resumes failed before; the tests of `explain` use lines of their own and did not see it.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -658,6 +658,20 @@
         )
         self.assertEqual(0, resumed)
 
+    async def test_log_names_the_engine_that_resumes(self):
+        """Guards against a resumption that `explain` cannot tie to its move."""
+        with mock.patch('primrosewood.relay.log_decision') as log:
+            await self.fail_resumption(partial(make_notice, target='e2:80'))
+        fields = next(
+            each.kwargs
+            for each in log.call_args_list
+            if each.args[0] == 'resumed'
+        )
+        self.assertEqual(
+            ('e2:80', 'e2', _BOOT),
+            (fields['endpoint'], fields['engine'], fields['boot']),
+        )
+
     async def test_copy_that_is_no_longer_available(self):
         call = self.make_call(RouteKind.streaming)
 
