Drop a notice "not moved" once the generation runs on

The process beside an engine sends "not moved" for all generations after a single failed reading.

An event that comes after such a notice shows that the generation runs on, so the notice is dropped and the next one is awaited. test_notice_before_the_generation_runs_on failed before (generation_lost).

--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -243,6 +243,15 @@
         self._notice = notice
         self._received.set()
 
+    def record_event(self) -> None:
+        """Drop a notice that the generation was not moved, as it runs on.
+
+        A process beside an engine sends one also after a single failed reading.
+        """
+        if self._notice is not None and self._notice.copy is None:
+            self._notice = None
+            self._received.clear()
+
     async def wait(self, seconds: float) -> MoveNotice | None:
         """Return the notice, None if none arrives in time."""
         with suppress(TimeoutError):
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -203,7 +203,7 @@
     ) -> BackendAttempt | None:
         """Return the attempt that follows this one, None if it is complete."""
         try:
-            await self._stream_attempt(progress, backend_attempt, sink)
+            await self._stream_attempt(progress, backend_attempt, sink, awaited)
         except NotRunError as error:
             return self._retry_refused(progress, backend_attempt, error)
         except (BackendCutError, WireError) as error:
@@ -217,6 +217,7 @@
         progress: CallProgress,
         backend_attempt: BackendAttempt,
         sink: AnswerSink,
+        awaited: AwaitedNotice,
     ) -> None:
         call = progress.call
         progress.head_received = False
@@ -227,7 +228,7 @@
                 progress.head_received = reply.status == _STATUS_OK
                 if progress.head_received:
                     await self._forward_events(
-                        progress, reply, sink, reservation
+                        progress, reply, sink, reservation, awaited
                     )
                 else:
                     await self._forward_error(progress, reply, sink)
@@ -243,6 +244,7 @@
         reply: BackendReply,
         sink: AnswerSink,
         reservation: Reservation,
+        awaited: AwaitedNotice,
     ) -> None:
         splitter = EventSplitter()
         async for part in reply.parts():
@@ -252,6 +254,7 @@
             if not new_events:
                 continue
             now = self._deps.clock.monotonic()
+            awaited.record_event()
             reservation.record_event(now)
             progress.record_event(now)
             if now > reservation.first_event_at + _SURVIVAL_SECONDS:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -573,6 +573,41 @@
         self.assertEqual(2, resumption.last_event)
         self.assertEqual('h', resumption.handle)
 
+    async def test_notice_before_the_generation_runs_on(self):
+        """Guards against "not moved" after one failed reading of an engine.
+
+        The generation is moved later, and its notice follows the end of the
+        stream.
+        """
+
+        @asynccontextmanager
+        async def send(_call, backend_attempt):
+            self.transport.backend_attempts.append(backend_attempt)
+            yield self.make_moved_reply(backend_attempt)
+
+        self.transport.send = send
+        await self.relay.answer(self.make_call(RouteKind.streaming), self.sink)
+        events = b''.join(map(make_event, (1, 2, 3)))
+        self.assertEqual(events, self.sink.body)
+
+    def make_moved_reply(self, backend_attempt):
+        """Return a reply that is told "not moved" and moved later."""
+        notice = make_notice(backend_attempt, 'e2:80')
+        reply = ScriptedReply()
+
+        async def parts():
+            yield make_event(1)
+            self.notices.post(replace(notice, copy=None))
+            yield make_event(2)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, self.notices.post, notice)
+            raise CUT
+
+        if backend_attempt.resumption is None:
+            reply.parts = parts
+            return reply
+        return ScriptedReply(make_event(2), make_event(3))
+
     async def test_lost_stream_is_not_regenerated_by_default(self):
         """An engine crashes in the middle of a stream.
 
