--- a/primrosewood/rolloutevidence.py
+++ b/primrosewood/rolloutevidence.py
@@ -44,9 +44,11 @@
 _MIN_PACES = 6
 # Standard deviation of the logarithm of paces that is assumed at least.
 _MIN_DEVIATION = 0.3
-# An engine with more than this share of the unusual failures may be faulty by
-# itself, and a failure domain with more than that share may be lost.
+# An engine with more than this share of the unusual failures, and this many
+# times its share of the calls, may be faulty by itself.  A failure domain with
+# more than that share may be lost.
 _MOST_SHARE = 0.3
+_MOST_CALLS_FACTOR = 1.5
 _MOST_DOMAIN_SHARE = 0.7
 # Outcomes are judged as a whole and over the last few seconds, since a version
 # may turn bad after many good answers.
@@ -245,7 +247,7 @@
     by_domain: Counter[str] = Counter()
     for name, failures in excess.items():
         by_domain[domains.get(name, '')] += failures
-    worst = _find_worst(excess, _MOST_SHARE)
+    worst = _find_worst(excess, _find_least_share(tallies, excess))
     worst_domain = _find_worst(by_domain, _MOST_DOMAIN_SHARE)
     return {
         engine
@@ -254,6 +256,22 @@
     }
 
 
+def _find_least_share(tallies: Tallies, excess: Counter[str]) -> float:
+    """Return the share of failures above which the worst engine is left out.
+
+    Among few engines the worst one of a bad version has a large share by
+    chance; without it, the others look better than the version is.
+    """
+    if not excess:
+        return _MOST_SHARE
+    calls: Counter[str] = Counter()
+    for (_route, engine, is_new), tally in tallies.items():
+        calls[engine] += tally.calls * is_new
+    worst = excess.most_common(1)[0][0]
+    share_of_calls = calls[worst] / max(1, calls.total())
+    return max(_MOST_SHARE, _MOST_CALLS_FACTOR * share_of_calls)
+
+
 def _count_excess(tallies: Tallies) -> Counter[str]:
     """Return the unusual failures of each new engine.
 
@@ -272,14 +290,10 @@
     if len(excess) < 2:
         return None
     worst, most = excess.most_common(1)[0]
-    total = sum(filter(_is_positive, excess.values()))
+    total = sum(failures for failures in excess.values() if failures > 0)
     return worst if most > min_share * total else None
 
 
-def _is_positive(number: float) -> bool:
-    return number > 0
-
-
 def _usual_rate(old: Tally) -> float:
     return (old.failures + _PRIOR_FAILURES) / (old.calls + _PRIOR_CALLS)
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -263,6 +263,15 @@
                 deployment.faults = [deployment.lose_domain(at=2)]
                 self.check(deployment)
 
+    def test_domain_is_lost_as_a_version_is_tried_further_seeds(self):
+        """Guards against the same, with seeds on which the proof comes late."""
+        for seed in (13, 24, 27):
+            with self.subTest(seed=seed):
+                version = _BAD_VERSIONS['fails rarely']
+                deployment = _Deployment(version, seed=seed)
+                deployment.faults = [deployment.lose_domain(at=2)]
+                self.check(deployment)
+
     def test_entries_that_hear_nobody(self):
         """Guards against an exposure that grows with entries that are cut off.
 
@@ -468,6 +477,17 @@
 class EvidenceTest(unittest.TestCase):
     """What counts as a fault."""
 
+    def test_worst_of_few_engines(self):
+        """Guards against a proof that is left out as one engine's own fault.
+
+        Four engines are left of a bad version; the worst one has a third of the
+        failures by chance.
+        """
+        tallies = {('r', '', False): Tally(300, 2)}
+        for engine, failures in (('a', 7), ('b', 5), ('c', 3), ('d', 4)):
+            tallies['r', engine, True] = Tally(15, failures)
+        self.assertIn('19 of 60', find_fault(tallies))
+
     def test_one_of_two_engines_fails(self):
         tallies = {
             ('r', '', False): Tally(100, 1),
