Bound the bodies of requests that an entry holds at a time

BodyMemory gives room for 24 MiB (a setting of the entry). Bodies are still copied once as they are joined and once as they are sent; the bound leaves room for that.

--- a/primrosewood/gen_node.py
+++ b/primrosewood/gen_node.py
@@ -60,6 +60,19 @@
     """
     Listening address for announcements of processes beside engines, as host:port.
     """
+    body_memory_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description='Largest sum of the bodies of requests that are held at a time.',
+                ge=1,
+            ),
+        ]
+        | UnsetType
+    ) = 25165824
+    """
+    Largest sum of the bodies of requests that are held at a time.
+    """
 
 
 class NodeSettings(Struct, forbid_unknown_fields=True):
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -230,6 +230,7 @@
             random,
             self._metrics,
             self._stop_window,
+            self._settings.entry.body_memory_bytes,
         )
 
     def _report_retries(self, record: wire.RetryRecord) -> None:
--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from ..bodymemory import BodyMemory, HeldBody
 from ..clock import Clock, RandomSource
 from ..directcalls import AnswerHead, DirectCall, Header
 from ..errors import ErrorKind, RequestFailedError
@@ -52,6 +53,7 @@
         random: RandomSource,
         metrics: Metrics,
         stop: StopWindow,
+        body_memory_bytes: int,
     ) -> None:
         """Start with no requests in progress.
 
@@ -69,8 +71,11 @@
             Counts refusals and disconnects.
         stop
             State of the planned stop.
+        body_memory_bytes
+            Largest sum of the bodies of requests that are held.
         """
         self.stop = stop
+        self._bodies = BodyMemory(body_memory_bytes)
         self._relay = relay
         self._tables = tables
         self._clock = clock
@@ -131,8 +136,14 @@
             return self._refuse(request, internal_error)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        with self._bodies.open(_get_attempt_id(request)) as held:
+            return await self._answer_call(request, held)
+
+    async def _answer_call(
+        self, request: web.BaseRequest, held: HeldBody
+    ) -> web.StreamResponse:
         arrived = self._clock.monotonic()
-        call = await self._read_call(request, arrived)
+        call = await self._read_call(request, arrived, held)
         # Reading the body may have taken long, so the time is read again.
         admission_time = self._clock.monotonic()
         if self.stop.begun and not self.stop.admits(
@@ -156,7 +167,7 @@
         return await writer.end()
 
     async def _read_call(
-        self, request: web.BaseRequest, arrived: float
+        self, request: web.BaseRequest, arrived: float, held: HeldBody
     ) -> DirectCall:
         table = self._tables.table
         if table is None:
@@ -166,7 +177,7 @@
         attempt_id = headers.find_header(raw_headers, headers.ATTEMPT_ID)
         if not attempt_id or not _is_forwarded_unchanged(request.raw_path):
             raise RequestFailedError(ErrorKind.invalid_request)
-        body = await self._read_body(request, table.limits.body_bytes)
+        body = await self._read_body(request, table.limits.body_bytes, held)
         # A new route table may have arrived while the body was read.  Using the
         # old one could contradict decisions that are already based on the new.
         table = self._tables.table
@@ -200,16 +211,21 @@
         )
 
     async def _read_body(
-        self, request: web.BaseRequest, max_bytes: int
+        self, request: web.BaseRequest, max_bytes: int, held: HeldBody
     ) -> bytes:
         if not request.body_exists:
             return b''
+        declared_bytes = request.content_length
+        if declared_bytes is not None:
+            if declared_bytes > max_bytes:
+                raise RequestFailedError(ErrorKind.too_large)
+            await held.reserve(declared_bytes)
         # aiohttp reports no error when the framing of a body is invalid; the
         # body just never ends.  A body that is sent slowly on purpose also
         # holds memory.
         try:
             async with self._body_timers.limit(_BODY_TIMEOUT_SECONDS):
-                return await _read_limited_body(request, max_bytes)
+                return await _read_limited_body(request, max_bytes, held)
         except TimeoutError as error:
             raise RequestFailedError(ErrorKind.request_timeout) from error
 
@@ -354,13 +370,16 @@
         raise RequestFailedError(ErrorKind.invalid_request) from error
 
 
-async def _read_limited_body(request: web.BaseRequest, max_bytes: int) -> bytes:
+async def _read_limited_body(
+    request: web.BaseRequest, max_bytes: int, held: HeldBody
+) -> bytes:
     parts = []
     size = 0
     async for part in request.content.iter_any():
         size += len(part)
         if size > max_bytes:
             raise RequestFailedError(ErrorKind.too_large)
+        held.grow_to(size)
         parts.append(part)
     return b''.join(parts)
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -72,8 +72,8 @@
 
     Attributes
     ----------
-    limits
-        Limits in the settings of all nodes.
+    limits, body_memory_bytes
+        Limits in the settings of all nodes, and of the entries.
     stand_in
         The key-value service.
     engines
@@ -89,6 +89,7 @@
     """
 
     limits = LIMITS
+    body_memory_bytes = 25_000_000
 
     async def asyncSetUp(self):
         self.link_port = free_port()
@@ -185,7 +186,10 @@
             'entry-1',
             '127.0.0.1',
             entry=EntrySettings(
-                callers=self.callers, ready=self.ready, peers=self.peers
+                body_memory_bytes=self.body_memory_bytes,
+                callers=self.callers,
+                ready=self.ready,
+                peers=self.peers,
             ),
             metrics_port=self.metrics_port,
         )
@@ -199,6 +203,7 @@
             name,
             '127.0.0.1',
             entry=EntrySettings(
+                body_memory_bytes=self.body_memory_bytes,
                 callers=self.callers,
                 ready=self.ready,
                 peers=f'127.0.0.1:{free_port()}',
--- a/tests/test_empty_values.py
+++ b/tests/test_empty_values.py
@@ -114,6 +114,7 @@
             random.Random(1),
             Metrics(),
             StopWindow(8, 4),
+            1_000_000,
         )
 
     def apply(self, key, document, revision=1):
@@ -437,6 +438,7 @@
             random.Random(1),
             metrics,
             StopWindow(8, 4),
+            1_000_000,
         )
         for key in ('k1', 'never-held'):
             await frontend.handle(
