Move what outcomes say about back ends out of the placement of calls

CallEvidence records refusals, cuts, silences, paces and crashes; the placement chooses and decides on retries. No change of behaviour: the code is moved, with the clock, the roll-outs and the guard as its only collaborators.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from http import HTTPStatus
 
 from . import gen_wire as wire
 from .backendset import BackendSet
@@ -20,6 +19,7 @@
     ReservedTokens,
     expected_wait,
 )
+from .callevidence import CallEvidence
 from .callprogress import CallProgress
 from .candidates import Candidates
 from .clock import Clock, RandomSource
@@ -31,7 +31,6 @@
     ERROR_RESPONSES,
     BackendCutError,
     ErrorKind,
-    MisdirectedError,
     NotRunError,
     RequestFailedError,
     UnreachableError,
@@ -56,10 +55,6 @@
 # that failed together do not retry together.
 _RETRY_AFTER_SECONDS = 0.5
 _RETRY_JITTER_SECONDS = 0.5
-# A cancelled call counts as a failure of its back end after this many times
-# the route's objective without any event; callers abandon a silent stream
-# about then.
-_SILENT_OBJECTIVES = 4
 _MAX_LOGGED_PARTS = 8
 # A moved call may be sent for this long to an engine that is seen to leave.
 _LAST_CALLS_SECONDS = 0.5
@@ -143,7 +138,13 @@
 
 
 class CallPlacement:
-    """Chooses a back end for each call and decides on retries."""
+    """Chooses a back end for each call and decides on retries.
+
+    Attributes
+    ----------
+    evidence
+        Collects what outcomes of calls say about back ends.
+    """
 
     def __init__(self, dependencies: PlacementDependencies) -> None:
         """Start with empty retry budgets and default prompt rates."""
@@ -164,6 +165,9 @@
             dependencies.report_retries,
         )
         self._prompt_rates: dict[str, PromptRateEstimator] = {}
+        self.evidence = CallEvidence(
+            dependencies.clock, dependencies.rollouts, dependencies.guard
+        )
 
     def update_rules(self, rules: RelayRules) -> None:
         """Apply changed limits; the calls and retries so far still count."""
@@ -317,13 +321,13 @@
         try:
             yield reservation
         except NotRunError as error:
-            self._record_refusal(backend_attempt.backend, error)
+            self.evidence.record_refusal(backend_attempt.backend, error)
             raise
         except BackendCutError:
-            self._record_cut(call, backend_attempt.backend)
+            self.evidence.record_cut(call, backend_attempt.backend)
             raise
         except asyncio.CancelledError:
-            self._record_unanswered(call, reservation, now)
+            self.evidence.record_unanswered(call, reservation, now)
             raise
         else:
             backend_attempt.backend.record_success()
@@ -341,27 +345,6 @@
         length = progress.order.last * traits.event_tokens
         self._deps.lengths.observe(_length_group(progress.call), length)
 
-    def record_outcome(
-        self, progress: CallProgress, backend: Backend, status: int
-    ) -> None:
-        """Count an answer as evidence for the version of its back end."""
-        if self._deps.rollouts is None:
-            return
-        failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        pace = 0 if failed else self._measure_pace(progress)
-        route = progress.call.route.name
-        self._deps.rollouts.record(route, backend, failed, pace)
-
-    def record_cut_at_begin(self, call: DirectCall, backend: Backend) -> None:
-        """Handle an answer that began and broke off before its first event."""
-        if self._deps.guard is not None:
-            self._deps.guard.record_cut(call, backend)
-
-    def record_survival(self, call: DirectCall) -> None:
-        """Record that an engine answers a call and did not crash on it."""
-        if self._deps.guard is not None:
-            self._deps.guard.record_survival(call)
-
     async def find_resuming(
         self, progress: CallProgress, copy: MovedCopy
     ) -> Backend:
@@ -439,24 +422,6 @@
                 progress, ErrorKind.crashes_endpoints, retry_seconds=seconds
             )
 
-    def _record_cut(self, call: DirectCall, backend: Backend) -> None:
-        backend.record_failure(self._now())
-        # A back end that leaves or is gone cuts its calls whatever its version.
-        if self._deps.rollouts is not None and not backend.stopping:
-            self._deps.rollouts.record(call.route.name, backend, True, 0)
-
-    def _measure_pace(self, progress: CallProgress) -> float:
-        """Return the seconds for an answer, or for an event of a stream.
-
-        Answers that needed several sends say nothing about one back end.
-        """
-        if progress.sends > 1:
-            return 0
-        seconds = self._now() - progress.call.arrived
-        if progress.first_event is None or not progress.order.last:
-            return seconds
-        return (seconds - progress.first_event) / progress.order.last
-
     def _count_bytes(self, call: DirectCall, reservation: Reservation) -> None:
         domain = reservation.backend.record.failure_domain
         place = 'same' if domain == self._rules.failure_domain else 'other'
@@ -464,31 +429,6 @@
         count('request_bytes_by_domain', place, len(call.body))
         count('answer_bytes_by_domain', place, reservation.answer_bytes)
 
-    def _record_refusal(self, backend: Backend, error: NotRunError) -> None:
-        if isinstance(error, MisdirectedError):
-            backend.mark_misdirected(self._now())
-            log_decision(
-                'endpoint_misplaced',
-                endpoint=backend.name,
-                address=backend.record.address,
-                revision=backend.record.revision,
-            )
-        else:
-            backend.mark_suspect(self._now())
-
-    def _record_unanswered(
-        self, call: DirectCall, reservation: Reservation, since: float
-    ) -> None:
-        """Count a cancelled call as failed if it got no event in time.
-
-        A back end that hangs on some calls does not reset their connections;
-        only timeouts and cancelled calls reveal it.
-        """
-        now = self._now()
-        silence_limit = _SILENT_OBJECTIVES * call.route.objective
-        if not reservation.answered and now >= since + silence_limit:
-            reservation.backend.record_failure(now)
-
     def _check_first_event(
         self, progress: CallProgress, chosen: Backend, context: PlacementContext
     ) -> float | None:
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -281,7 +281,7 @@
     def _record_survival(self, progress: CallProgress) -> None:
         if not progress.survived:
             progress.survived = True
-            self._placement.record_survival(progress.call)
+            self._placement.evidence.record_survival(progress.call)
 
     def _choose_attempt(self, progress: CallProgress) -> BackendAttempt:
         backend = self._placement.choose(progress)
@@ -311,7 +311,7 @@
     ) -> BackendAttempt:
         """Return the attempt that continues a stream that was cut."""
         if progress.broke_off_at_begin:
-            self._placement.record_cut_at_begin(
+            self._placement.evidence.record_cut_at_begin(
                 progress.call, backend_attempt.backend
             )
         notice = await self._await_notice(
@@ -387,7 +387,7 @@
     ) -> None:
         call = progress.call
         seconds = self._deps.clock.monotonic() - call.arrived
-        self._placement.record_outcome(progress, backend, status)
+        self._placement.evidence.record_outcome(progress, backend, status)
         self._deps.metrics.count('calls', str(status))
         self._deps.metrics.record('call', seconds)
         log_decision(
