Name messages between processes in the field's terms

A query and its reply, a report and what recalls it: ClaimQuery, ClaimReply, CapacityQuery, CapacityReply, EngineCapacity, PairsQuery, PairsUpdate, LimitReport, RolloutReport, CrashReport, TargetQuery, TargetReply, RetryReport and RetryRecall, for names with Ask, Told, Room and Kept. Numbers and fields on the wire stay, so that older processes are understood.

Renames only; the generated classes are generated anew.

--- a/bench/table_change.py
+++ b/bench/table_change.py
@@ -83,4 +83,4 @@
 
 
 def _count_frame_bytes(pair: wire.StoredPair) -> int:
-    return len(serialise_frame([wire.PairsTold('', 1, 2, [pair])]))
+    return len(serialise_frame([wire.PairsUpdate('', 1, 2, [pair])]))
--- a/primrosewood/calllimits.py
+++ b/primrosewood/calllimits.py
@@ -77,7 +77,7 @@
             self._count(backend, calls=1)
             self._schedule_report(backend, calls=1)
 
-    def merge_from_peer(self, report: wire.LimitTold) -> None:
+    def merge_from_peer(self, report: wire.LimitReport) -> None:
         """Apply another entry's report of a limit and of its calls."""
         backend = self._backends.find(report.endpoint)
         # A later start of the back end has not stated any limit.
@@ -129,7 +129,7 @@
         now = self._clock.monotonic()
         limit = backend.call_limit
         delivered = self._send(
-            wire.LimitTold(
+            wire.LimitReport(
                 endpoint=backend.name,
                 rate=limit.rate,
                 age_ms=int((now - limit.reported_at) * _MS_PER_SECOND),
--- a/primrosewood/claimrouter.py
+++ b/primrosewood/claimrouter.py
@@ -80,7 +80,7 @@
         """Read the claim in force for a key, None when there is none."""
         return await self._claim_writer.look_up(digest)
 
-    def handle(self, ask: wire.ClaimAsk, link: Link) -> None:
+    def handle(self, ask: wire.ClaimQuery, link: Link) -> None:
         """Write the claim of another entry and send back the result."""
         spawn(self._write_for_peer(ask, link), 'claim of a peer')
 
@@ -90,15 +90,15 @@
         chosen = {choose_writer(shard, names) for shard in range(self._shards)}
         return chosen - {self._name}
 
-    async def _write_for_peer(self, ask: wire.ClaimAsk, link: Link) -> None:
+    async def _write_for_peer(self, ask: wire.ClaimQuery, link: Link) -> None:
         try:
             result = await self._claim_writer.claim(
                 ClaimProposal(ask.record, ask.replaces)
             )
         except (StoreUnavailableError, WireError):
-            link.send(wire.ClaimTold(ask.attempt, None))
+            link.send(wire.ClaimReply(ask.attempt, None))
             return
-        link.send(wire.ClaimTold(ask.attempt, result.record))
+        link.send(wire.ClaimReply(ask.attempt, result.record))
 
     async def _ask_writer(
         self, writer: LinkClient, proposal: ClaimProposal
@@ -110,7 +110,7 @@
         try:
             async with asyncio.timeout(self._timeout_seconds):
                 writer.send(
-                    wire.ClaimAsk(channel, proposal.record, proposal.replaces)
+                    wire.ClaimQuery(channel, proposal.record, proposal.replaces)
                 )
                 reply = await inbox.receive()
         except TimeoutError:
--- a/primrosewood/crashguard.py
+++ b/primrosewood/crashguard.py
@@ -159,7 +159,7 @@
         turn = _TELL_TURN_SECONDS * self._deps.random.random()
         self._tell_at = min(self._tell_at, self._now() + turn)
 
-    def merge_from_peer(self, told: wire.CrashTold) -> None:
+    def merge_from_peer(self, told: wire.CrashReport) -> None:
         """Apply another entry's record of a crash."""
         crash = _from_message(told)
         if self._untold.get(crash.endpoint, frozenset()) <= crash.cleared:
@@ -279,8 +279,8 @@
         return self._deps.clock.monotonic()
 
 
-def _to_message(crash: Crash) -> wire.CrashTold:
-    return wire.CrashTold(
+def _to_message(crash: Crash) -> wire.CrashReport:
+    return wire.CrashReport(
         endpoint=crash.endpoint,
         boot=crash.boot,
         service=crash.service,
@@ -291,7 +291,7 @@
     )
 
 
-def _from_message(told: wire.CrashTold) -> Crash:
+def _from_message(told: wire.CrashReport) -> Crash:
     return Crash(
         endpoint=told.endpoint,
         boot=told.boot,
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -140,13 +140,13 @@
             case wire.EngineFound():
                 # Forwarded, as entries have no links to each other.
                 self._broadcast(message, link)
-            case wire.RoomTold() | wire.TargetTold():
+            case wire.CapacityReply() | wire.TargetReply():
                 self._mover.handle_reply(message)
-            case wire.PairsAsk():
+            case wire.PairsQuery():
                 self._forward_query(message, link)
-            case wire.PairsTold():
+            case wire.PairsUpdate():
                 self._forward_pairs(message, link)
-            case wire.LimitTold() | wire.RolloutTold() | wire.CrashTold():
+            case wire.LimitReport() | wire.RolloutReport() | wire.CrashReport():
                 self._broadcast(message, link)
             case wire.EngineRetired():
                 self._retire(message)
@@ -212,13 +212,13 @@
             leaves_in=max(0, self._stops_at - now),
         )
 
-    def _forward_pairs(self, message: wire.PairsTold, link: Link) -> None:
+    def _forward_pairs(self, message: wire.PairsUpdate, link: Link) -> None:
         if message.asker:
             self.server.send_to(message.asker, message)
         else:
             self._broadcast(message, link)
 
-    def _forward_query(self, message: wire.PairsAsk, link: Link) -> None:
+    def _forward_query(self, message: wire.PairsQuery, link: Link) -> None:
         asked = self.server.send_to_some(
             message, _MAX_ASKED_FOR_CHANGES, exclude=link
         )
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -117,14 +117,16 @@
             self._report_move(run)
         self._reading = None
 
-    def handle_reply(self, message: wire.RoomTold | wire.TargetTold) -> None:
+    def handle_reply(
+        self, message: wire.CapacityReply | wire.TargetReply
+    ) -> None:
         """Handle an entry's answer to a query of this mover."""
-        if isinstance(message, wire.RoomTold):
+        if isinstance(message, wire.CapacityReply):
             self._handle_capacity(message)
         else:
             self._target_reply.handle(message)
 
-    def _handle_capacity(self, message: wire.RoomTold) -> None:
+    def _handle_capacity(self, message: wire.CapacityReply) -> None:
         targets = _read_targets(self._location.service, message)
         # An entry that has just started knows no engines yet; wait for another
         # entry's reply.
@@ -178,7 +180,7 @@
 
     async def _request_free_capacity(self) -> list[MoveTarget]:
         self._capacity_reply = asyncio.get_running_loop().create_future()
-        query = wire.RoomAsk(self._location.service)
+        query = wire.CapacityQuery(self._location.service)
         self._ask_entries(query)
         try:
             async with asyncio.timeout(_CAPACITY_REPLY_TIMEOUT_SECONDS):
@@ -241,7 +243,7 @@
         identity = target.identity
         self._target_reply = _TargetReply(identity)
         self._ask_entries(
-            wire.TargetAsk(
+            wire.TargetQuery(
                 identity.service, target.address, identity.name, identity.boot
             )
         )
@@ -306,7 +308,7 @@
         self._received = asyncio.Event()
         self._takes_calls: bool | None = None
 
-    def handle(self, message: wire.TargetTold) -> None:
+    def handle(self, message: wire.TargetReply) -> None:
         asked = self._asked
         if asked is None or self._received.is_set():
             return
@@ -321,7 +323,9 @@
         return self._takes_calls
 
 
-def _read_targets(service: str, message: wire.RoomTold) -> list[MoveTarget]:
+def _read_targets(
+    service: str, message: wire.CapacityReply
+) -> list[MoveTarget]:
     """Return the engines that an entry named completely."""
     targets: list[MoveTarget] = []
     for each in message.engines:
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -144,12 +144,12 @@
         for link in self._links.values():
             link.stop()
 
-    def engines_with_capacity(self, service: str) -> list[wire.EngineRoom]:
+    def engines_with_capacity(self, service: str) -> list[wire.EngineCapacity]:
         """Return the engines of a service that can accept moved generations."""
         now = self._clock.monotonic()
         receiving = self._list_receiving(now)
         return [
-            wire.EngineRoom(
+            wire.EngineCapacity(
                 backend.record.address,
                 backend.record.failure_domain,
                 _free_tokens(backend),
@@ -199,7 +199,7 @@
         """
         return self._send_to_some(message, limit=1)
 
-    def report_retries(self, told: wire.RetriesTold) -> None:
+    def report_retries(self, told: wire.RetryReport) -> None:
         """Send retries to a few processes, which keep them for the next one."""
         self._send_to_some(told, _RETRY_COPIES)
 
@@ -298,11 +298,13 @@
         match message:
             case wire.EngineReport():
                 self._handle_report(address, message)
-            case wire.RoomAsk():
+            case wire.CapacityQuery():
                 link.send(
-                    wire.RoomTold(self.engines_with_capacity(message.service))
+                    wire.CapacityReply(
+                        self.engines_with_capacity(message.service)
+                    )
                 )
-            case wire.TargetAsk():
+            case wire.TargetQuery():
                 self._answer_target_query(message, link)
             case wire.EngineFound():
                 self.register_engine(message)
@@ -311,17 +313,17 @@
             case _:
                 self._handle_other(message, link)
 
-    def _answer_target_query(self, query: wire.TargetAsk, link: Link) -> None:
+    def _answer_target_query(self, query: wire.TargetQuery, link: Link) -> None:
         """Tell whether an engine takes calls, unless it is not known here."""
         if query.name and self._backends.find(query.name) is None:
             return
         link.send(
-            wire.TargetTold(
+            wire.TargetReply(
                 query.address, self._takes_calls(query), query.name, query.boot
             )
         )
 
-    def _takes_calls(self, query: wire.TargetAsk) -> bool:
+    def _takes_calls(self, query: wire.TargetQuery) -> bool:
         try:
             identity = BackendIdentity(query.service, query.name, query.boot)
         except WireError:
--- a/primrosewood/entry.py
+++ b/primrosewood/entry.py
@@ -200,7 +200,7 @@
         )
 
     def _handle_peer_message(self, message: Message, link: Link) -> None:
-        if isinstance(message, wire.ClaimAsk):
+        if isinstance(message, wire.ClaimQuery):
             self._claim_router.handle(message, link)
 
     def _make_caller_api(self) -> CallerApi:
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -54,7 +54,23 @@
     """
 
 
-class ClaimAsk(Struct, array_like=True):
+class CapacityQuery(Struct, array_like=True):
+    """
+    Asks an entry which engines have free memory for moved generations.
+    """
+
+    service: str
+
+
+class CapacityReply(Struct, array_like=True):
+    """
+    Answer to CapacityQuery.
+    """
+
+    engines: list[EngineCapacity]
+
+
+class ClaimQuery(Struct, array_like=True):
     """
     A claim, sent to the process that writes its shard.
     """
@@ -100,7 +116,7 @@
     """
 
 
-class ClaimTold(Struct, array_like=True):
+class ClaimReply(Struct, array_like=True):
     """
     The claim in force; null when the writer could not read or write it.
     """
@@ -115,7 +131,7 @@
 Copy: TypeAlias = Annotated[list[CopyItem], Meta(max_length=3, min_length=3)]
 
 
-class CrashTold(Struct, array_like=True):
+class CrashReport(Struct, array_like=True):
     """
     What an entry knows of the crash of an engine that had begun to answer its call, for the other entries.
     """
@@ -166,6 +182,54 @@
     offset: Annotated[int, Meta(ge=0)]
 
 
+class EngineCapacity(Struct, array_like=True):
+    """
+    An engine and its free memory.
+    """
+
+    address: Annotated[str, Meta(description='host:port')]
+    """
+    host:port
+    """
+    failure_domain: str
+    free_tokens: Annotated[int, Meta(ge=0)]
+    receiving: (
+        Annotated[
+            bool,
+            Meta(description='Whether a generation is being copied to the engine.'),
+        ]
+        | UnsetType
+    ) = False
+    """
+    Whether a generation is being copied to the engine.
+    """
+    name: (
+        Annotated[
+            str,
+            Meta(
+                description="The engine's name; empty if the sender does not state it."
+            ),
+        ]
+        | UnsetType
+    ) = ''
+    """
+    The engine's name; empty if the sender does not state it.
+    """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the engine this is; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the engine this is; 0 from older processes.
+    """
+
+
 class EngineFound(Struct, array_like=True):
     """
     Announcement of an engine by the process beside it.
@@ -351,54 +415,6 @@
     """
 
 
-class EngineRoom(Struct, array_like=True):
-    """
-    An engine and its free memory.
-    """
-
-    address: Annotated[str, Meta(description='host:port')]
-    """
-    host:port
-    """
-    failure_domain: str
-    free_tokens: Annotated[int, Meta(ge=0)]
-    receiving: (
-        Annotated[
-            bool,
-            Meta(description='Whether a generation is being copied to the engine.'),
-        ]
-        | UnsetType
-    ) = False
-    """
-    Whether a generation is being copied to the engine.
-    """
-    name: (
-        Annotated[
-            str,
-            Meta(
-                description="The engine's name; empty if the sender does not state it."
-            ),
-        ]
-        | UnsetType
-    ) = ''
-    """
-    The engine's name; empty if the sender does not state it.
-    """
-    boot: (
-        Annotated[
-            int,
-            Meta(
-                description='Which start of the engine this is; 0 from older processes.',
-                ge=0,
-            ),
-        ]
-        | UnsetType
-    ) = 0
-    """
-    Which start of the engine this is; 0 from older processes.
-    """
-
-
 class Failed(Struct, array_like=True):
     attempt: str
     kind: str
@@ -442,17 +458,17 @@
         Annotated[
             bool,
             Meta(
-                description='Whether the sender understands RetriesKept and waits for it.'
+                description='Whether the sender understands RetryRecall and waits for it.'
             ),
         ]
         | UnsetType
     ) = False
     """
-    Whether the sender understands RetriesKept and waits for it.
+    Whether the sender understands RetryRecall and waits for it.
     """
 
 
-class LimitTold(Struct, array_like=True):
+class LimitReport(Struct, array_like=True):
     """
     The rate limit that a back end stated, and the calls that the sender made to it.
     """
@@ -553,7 +569,7 @@
     content_type: str | UnsetType = ''
 
 
-class PairsAsk(Struct, array_like=True):
+class PairsQuery(Struct, array_like=True):
     """
     Asks other entries for changes of the key-value service when it does not answer the sender.
     """
@@ -592,7 +608,7 @@
     """
 
 
-class PairsTold(Struct, array_like=True):
+class PairsUpdate(Struct, array_like=True):
     """
     Changes of the key-value service, as one entry read them.
     """
@@ -707,7 +723,10 @@
     offset: Annotated[int, Meta(ge=0)]
 
 
-class RetriesKept(Struct, array_like=True):
+Retry: TypeAlias = Annotated[int, Meta(ge=0)]
+
+
+class RetryRecall(Struct, array_like=True):
     """
     What an entry told of its retries before its process was restarted.
     """
@@ -724,21 +743,6 @@
     counted: list[RetryRecord]
 
 
-class RetriesTold(Struct, array_like=True):
-    """
-    Retries of an entry, which the receiver keeps for the entry's next process.
-    """
-
-    entry: Annotated[str, Meta(description='Name of the entry.')]
-    """
-    Name of the entry.
-    """
-    counted: RetryRecord
-
-
-Retry: TypeAlias = Annotated[int, Meta(ge=0)]
-
-
 class RetryRecord(Struct, array_like=True):
     """
     Requests and retries of one service within the last window, as an entry counted them.
@@ -776,6 +780,52 @@
     """
 
 
+class RetryReport(Struct, array_like=True):
+    """
+    Retries of an entry, which the receiver keeps for the entry's next process.
+    """
+
+    entry: Annotated[str, Meta(description='Name of the entry.')]
+    """
+    Name of the entry.
+    """
+    counted: RetryRecord
+
+
+class RolloutReport(Struct, array_like=True):
+    """
+    Outcomes that an entry has seen during a roll-out, for the other entries.
+    """
+
+    sender: Annotated[str, Meta(description='Name of the entry.')]
+    """
+    Name of the entry.
+    """
+    service: Annotated[str, Meta(description='Name of the service.')]
+    """
+    Name of the service.
+    """
+    order: Annotated[int, Meta(description="Revision of the operators' order.", ge=0)]
+    """
+    Revision of the operators' order.
+    """
+    fault: Annotated[
+        str,
+        Meta(
+            description='Why the sender believes that the new version is bad; empty if it does not.'
+        ),
+    ]
+    """
+    Why the sender believes that the new version is bad; empty if it does not.
+    """
+    tallies: Annotated[
+        list[RolloutTally], Meta(description='The tallies that changed.')
+    ]
+    """
+    The tallies that changed.
+    """
+
+
 class RolloutTally(Struct, array_like=True):
     """
     Outcomes of one entry's calls on one route during a roll-out.
@@ -830,56 +880,6 @@
     """
 
 
-class RolloutTold(Struct, array_like=True):
-    """
-    Outcomes that an entry has seen during a roll-out, for the other entries.
-    """
-
-    sender: Annotated[str, Meta(description='Name of the entry.')]
-    """
-    Name of the entry.
-    """
-    service: Annotated[str, Meta(description='Name of the service.')]
-    """
-    Name of the service.
-    """
-    order: Annotated[int, Meta(description="Revision of the operators' order.", ge=0)]
-    """
-    Revision of the operators' order.
-    """
-    fault: Annotated[
-        str,
-        Meta(
-            description='Why the sender believes that the new version is bad; empty if it does not.'
-        ),
-    ]
-    """
-    Why the sender believes that the new version is bad; empty if it does not.
-    """
-    tallies: Annotated[
-        list[RolloutTally], Meta(description='The tallies that changed.')
-    ]
-    """
-    The tallies that changed.
-    """
-
-
-class RoomAsk(Struct, array_like=True):
-    """
-    Asks an entry which engines have free memory for moved generations.
-    """
-
-    service: str
-
-
-class RoomTold(Struct, array_like=True):
-    """
-    Answer to RoomAsk.
-    """
-
-    engines: list[EngineRoom]
-
-
 class RunMoved(Struct, array_like=True):
     """
     A generation was stopped and continues from a copy of its KV cache.
@@ -1029,7 +1029,7 @@
     """
 
 
-class TargetAsk(Struct, array_like=True):
+class TargetQuery(Struct, array_like=True):
     """
     Asks an entry whether an engine still takes calls, before a generation stops for its last copy there.
     """
@@ -1058,9 +1058,9 @@
     """
 
 
-class TargetTold(Struct, array_like=True):
+class TargetReply(Struct, array_like=True):
     """
-    Answer to TargetAsk.
+    Answer to TargetQuery.
     """
 
     address: Annotated[str, Meta(description='host:port')]
--- a/primrosewood/link.py
+++ b/primrosewood/link.py
@@ -44,7 +44,7 @@
 # What these say is sent again or can be read elsewhere. They are dropped on a
 # link that already holds more bytes than this.
 _REPEATED_TYPES = frozenset(
-    (wire.EngineReport, wire.EngineFound, wire.PairsAsk, wire.PairsTold)
+    (wire.EngineReport, wire.EngineFound, wire.PairsQuery, wire.PairsUpdate)
 )
 _MAX_PENDING_BYTES = 262_144
 
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -83,7 +83,7 @@
         self._stop_seconds = settings.limits.stop_seconds
 
     def _handle_message(self, message: Message, link: Link) -> None:
-        if isinstance(message, wire.RetriesTold):
+        if isinstance(message, wire.RetryReport):
             self._retries.record(message)
         else:
             self._keeper.handle(message, link)
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -235,17 +235,17 @@
 
     def _report_retries(self, record: wire.RetryRecord) -> None:
         self._engines.report_retries(
-            wire.RetriesTold(self._settings.name, record)
+            wire.RetryReport(self._settings.name, record)
         )
 
     def _handle_message(self, message: Message, link: Link) -> None:
-        if isinstance(message, wire.LimitTold):
+        if isinstance(message, wire.LimitReport):
             self._limits.merge_from_peer(message)
-        elif isinstance(message, wire.RolloutTold):
+        elif isinstance(message, wire.RolloutReport):
             self._rollouts.handle(message)
-        elif isinstance(message, wire.RetriesKept):
+        elif isinstance(message, wire.RetryRecall):
             self._history.merge(message)
-        elif isinstance(message, wire.CrashTold):
+        elif isinstance(message, wire.CrashReport):
             self._guard.merge_from_peer(message)
         else:
             self._store_reader.handle(message, link)
--- a/primrosewood/retryhistory.py
+++ b/primrosewood/retryhistory.py
@@ -100,7 +100,7 @@
         """Whether the retries of the process before are known, or expired."""
         return self._clock.monotonic() >= self._complete_at
 
-    def merge(self, kept: wire.RetriesKept) -> None:
+    def merge(self, kept: wire.RetryRecall) -> None:
         """Apply what a process beside an engine kept for this entry."""
         now = self._clock.monotonic()
         for record in kept.counted:
@@ -136,7 +136,7 @@
         self._known_since: OrderedDict[str, float] = OrderedDict()
         self._told: dict[str, dict[str, tuple[float, wire.RetryRecord]]] = {}
 
-    def record(self, told: wire.RetriesTold) -> None:
+    def record(self, told: wire.RetryReport) -> None:
         """Keep a report instead of the last one of that entry and service.
 
         Ignored if no process of that name has connected.
@@ -149,13 +149,13 @@
             told.counted,
         )
 
-    def recall(self, entry: str) -> wire.RetriesKept:
+    def recall(self, entry: str) -> wire.RetryRecall:
         """Return what an entry reported, for a process that has its name."""
         now = self._clock.monotonic()
         known_since = self._known_since.setdefault(entry, now)
         self._known_since.move_to_end(entry)
         self._drop_oldest()
-        return wire.RetriesKept(
+        return wire.RetryRecall(
             known_ms=int((now - known_since) * _MS_PER_SECOND),
             counted=[
                 _with_age(record, now - told_at)
--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -175,7 +175,7 @@
         is_new = rollout.is_new(backend)
         rollout.evidence.record(route, backend.name, is_new, failed, pace)
 
-    def handle(self, told: wire.RolloutTold) -> None:
+    def handle(self, told: wire.RolloutReport) -> None:
         """Add the evidence of another entry."""
         rollout = self._rollouts.get(told.service)
         if rollout is None or rollout.order.revision != told.order:
@@ -250,7 +250,7 @@
             tallies = rollout.evidence.take_unsent()
             if tallies or rollout.fault:
                 self._deps.send(
-                    wire.RolloutTold(
+                    wire.RolloutReport(
                         sender=self._deps.name,
                         service=service,
                         order=rollout.order.revision,
--- a/primrosewood/sharedreader.py
+++ b/primrosewood/sharedreader.py
@@ -108,16 +108,16 @@
 
     def handle(self, message: Message, link: Link) -> None:
         """Handle a query or an update from another entry."""
-        if isinstance(message, wire.PairsAsk):
+        if isinstance(message, wire.PairsQuery):
             self._handle_query(message, link)
-        elif isinstance(message, wire.PairsTold):
+        elif isinstance(message, wire.PairsUpdate):
             self._apply_update(message)
 
     async def _read(self) -> None:
         known = self._view.newest
         started_at = self._clock.monotonic()
         if self._schedule.failed:
-            self._send(wire.PairsAsk(self._name, known, to_all=True))
+            self._send(wire.PairsQuery(self._name, known, to_all=True))
         try:
             async with asyncio.timeout(None) as read_timeout:
                 self._read_timeout = read_timeout
@@ -148,7 +148,7 @@
             log_event('reading_failed', 'WARNING', why=error)
             self._report_available(False)
         if not failed_before:
-            self._send(wire.PairsAsk(self._name, self._view.newest))
+            self._send(wire.PairsQuery(self._name, self._view.newest))
 
     def _is_stale(self, now: float) -> bool:
         return now - self._synced_at > _STALE_SECONDS
@@ -157,7 +157,7 @@
         self._synced_at = synced_at
         self._report_available(True)
 
-    def _handle_query(self, query: wire.PairsAsk, link: Link) -> None:
+    def _handle_query(self, query: wire.PairsQuery, link: Link) -> None:
         now = self._clock.monotonic()
         if query.to_all:
             self._schedule.record_attempt_elsewhere(now)
@@ -190,8 +190,8 @@
 
     def _make_update(
         self, asker: str, since: int, pairs: list[wire.StoredPair]
-    ) -> wire.PairsTold:
-        return wire.PairsTold(
+    ) -> wire.PairsUpdate:
+        return wire.PairsUpdate(
             asker=asker,
             since=since,
             newest=self._view.newest,
@@ -243,7 +243,7 @@
             encoded.stored = compress_value(encoded.stored)
         return encoded
 
-    def _apply_update(self, update: wire.PairsTold) -> None:
+    def _apply_update(self, update: wire.PairsUpdate) -> None:
         known = self._view.newest
         decoded = [self._decode_change(pair) for pair in update.pairs]
         changes = [change for change in decoded if change is not None]
@@ -272,7 +272,7 @@
             )
         self._compare(update, now)
 
-    def _compare(self, update: wire.PairsTold, now: float) -> None:
+    def _compare(self, update: wire.PairsUpdate, now: float) -> None:
         """List everything if the sender holds something else.
 
         A value that was deleted and written again between two reads of the
@@ -320,7 +320,7 @@
             OrderedDict()
         )
 
-    def is_last(self, update: wire.PairsTold) -> bool:
+    def is_last(self, update: wire.PairsUpdate) -> bool:
         """Count a piece; return whether the update is complete with it."""
         if update.pieces <= 1:
             return True
--- a/tests/test_calllimits.py
+++ b/tests/test_calllimits.py
@@ -148,7 +148,7 @@
 
     def receive_report(self, rate, age_ms, calls=0, boot=7):
         self.limits.merge_from_peer(
-            wire.LimitTold('i-1', rate, age_ms, calls, boot)
+            wire.LimitReport('i-1', rate, age_ms, calls, boot)
         )
 
     async def test_calls_are_reported_to_other_entries(self):
@@ -205,5 +205,5 @@
         self.assertLessEqual(self.wait(), before)
 
     async def test_report_for_an_unknown_back_end(self):
-        self.limits.merge_from_peer(wire.LimitTold('i-2', 2.0, 0, 1))
+        self.limits.merge_from_peer(wire.LimitReport('i-2', 2.0, 0, 1))
         self.assertEqual(0, self.wait())
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -31,8 +31,8 @@
     wire.Resume('a', 'g', 't/o', 4),
     wire.Fetch('a', 'b', 'i', 't/o'),
     wire.Cancel('a', at_once=False),
-    wire.ClaimAsk('a', _CLAIM, ''),
-    wire.ClaimTold('a', None),
+    wire.ClaimQuery('a', _CLAIM, ''),
+    wire.ClaimReply('a', None),
 ]
 
 
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -24,11 +24,13 @@
 
 def make_room(address, free_tokens, boot=1):
     """Return the free memory of an engine whose name is its address."""
-    return wire.EngineRoom(address, 'd1', free_tokens, name=address, boot=boot)
+    return wire.EngineCapacity(
+        address, 'd1', free_tokens, name=address, boot=boot
+    )
 
 
-CAPACITY_REPLY = wire.RoomTold([make_room('b:1', 20_000)])
-EMPTY_REPLY = wire.RoomTold([])
+CAPACITY_REPLY = wire.CapacityReply([make_room('b:1', 20_000)])
+EMPTY_REPLY = wire.CapacityReply([])
 
 
 class FakeServer:
@@ -50,12 +52,12 @@
     def broadcast(self, message, exclude=()):
         self.broadcasts.append(message)
         self.excluded = exclude
-        if isinstance(message, wire.RoomAsk):
+        if isinstance(message, wire.CapacityQuery):
             for answer in self.answers:
                 self.keeper.handle(answer, None)
-        if isinstance(message, wire.TargetAsk):
+        if isinstance(message, wire.TargetQuery):
             takes_calls = message.address != self.leaving
-            told = wire.TargetTold(
+            told = wire.TargetReply(
                 message.address, takes_calls, message.name, message.boot
             )
             for reply in self.change_reply(told):
@@ -191,7 +193,7 @@
         self.engine.leaving = True
         await self.wait_for(
             lambda: any(
-                isinstance(each, wire.RoomAsk)
+                isinstance(each, wire.CapacityQuery)
                 for each in self.server.broadcasts
             )
         )
@@ -200,7 +202,7 @@
 
     async def test_next_target_is_tried_after_a_refusal(self):
         self.server.answers = [
-            wire.RoomTold(
+            wire.CapacityReply(
                 [
                     make_room('full:1', 25_000),
                     make_room('b:1', 20_000),
@@ -218,7 +220,7 @@
         It runs on at its engine until another target has its copy.
         """
         self.server.answers = [
-            wire.RoomTold(
+            wire.CapacityReply(
                 [
                     make_room('leaves:1', 25_000),
                     make_room('b:1', 20_000),
@@ -263,15 +265,15 @@
     async def test_reply_that_names_no_engine(self):
         """Guards against a reply of an older process, by its address only."""
         await self.check_that_streams_run_on(
-            lambda told: [wire.TargetTold(told.address, True)]
+            lambda told: [wire.TargetReply(told.address, True)]
         )
 
     async def test_targets_without_an_identity(self):
         """Guards against a stream that goes on at whatever has an address."""
         self.server.answers = [
-            wire.RoomTold(
+            wire.CapacityReply(
                 [
-                    wire.EngineRoom('nameless:1', 'd1', 29_000, boot=1),
+                    wire.EngineCapacity('nameless:1', 'd1', 29_000, boot=1),
                     make_room('bootless:1', 28_000, boot=0),
                     make_room('b:1', 20_000),
                 ]
@@ -305,7 +307,7 @@
         asked = [
             each
             for each in self.server.broadcasts
-            if isinstance(each, wire.RoomAsk)
+            if isinstance(each, wire.CapacityQuery)
         ]
         self.assertEqual(2, len(asked))
 
@@ -505,13 +507,13 @@
 
     async def test_messages_between_entries_are_forwarded(self):
         """Entries have no links to each other; messages are forwarded."""
-        query = wire.PairsAsk('entry-2', 7)
+        query = wire.PairsQuery('entry-2', 7)
         self.keeper.handle(query, 'link of entry-2')
         self.assertIn(query, self.server.broadcasts)
-        answer = wire.PairsTold('entry-2', 7, 9, [])
+        answer = wire.PairsUpdate('entry-2', 7, 9, [])
         self.keeper.handle(answer, 'link of entry-1')
         self.assertEqual([('entry-2', answer)], self.server.sent)
-        update = wire.PairsTold('', 7, 9, [])
+        update = wire.PairsUpdate('', 7, 9, [])
         self.keeper.handle(update, 'link of entry-1')
         self.assertIn(update, self.server.broadcasts)
 
@@ -521,12 +523,12 @@
         Guards against an answer of each of them, with all changes since the
         asker's revision: only a few are asked for one.
         """
-        query = wire.PairsAsk('entry-2', 7)
+        query = wire.PairsQuery('entry-2', 7)
         self.keeper.handle(query, 'link of entry-2')
-        attempt = wire.PairsAsk('entry-2', 7, to_all=True)
+        attempt = wire.PairsQuery('entry-2', 7, to_all=True)
         self.keeper.handle(attempt, 'link of entry-2')
         self.assertEqual([query, attempt], self.server.limited)
-        notice = wire.PairsAsk('entry-2', 7, to_all=True, answer_wanted=False)
+        notice = wire.PairsQuery('entry-2', 7, to_all=True, answer_wanted=False)
         self.assertIn(notice, self.server.broadcasts)
         self.assertEqual(
             ('link of entry-2', 'link of an asked entry'), self.server.excluded
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -168,7 +168,7 @@
     def query(self, service='s', name='i-5', boot=_BOOT):
         link = mock.Mock()
         address = '10.1.1.5:80'
-        query = wire.TargetAsk(service, address, name, boot)
+        query = wire.TargetQuery(service, address, name, boot)
         self.connector.find('10.1.1.0').receive(query, link)
         return [each.args[0].takes_calls for each in link.send.call_args_list]
 
--- a/tests/test_link_bounds.py
+++ b/tests/test_link_bounds.py
@@ -11,7 +11,7 @@
 from primrosewood.link import Link
 from primrosewood.metrics import Metrics
 
-_LARGE = wire.PairsTold(
+_LARGE = wire.PairsUpdate(
     asker='',
     since=0,
     newest=1,
--- a/tests/test_platform_retries.py
+++ b/tests/test_platform_retries.py
@@ -39,7 +39,7 @@
         await asyncio.sleep(0.2)
         for link in links:
             link.stop()
-        return [each for each in received if isinstance(each, wire.RetriesKept)]
+        return [each for each in received if isinstance(each, wire.RetryRecall)]
 
     async def refuse_calls(self):
         """Let every look-up be refused by two back ends; return their number."""
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -230,7 +230,7 @@
             return
         reachable = self._reachable_archives(entry)
         for archive in self._random.sample(reachable, _COPIES):
-            archive.record(wire.RetriesTold(entry.name, record))
+            archive.record(wire.RetryReport(entry.name, record))
 
     def _kill(self, now):
         while self._kills and self._kills[0][0] <= now:
--- a/tests/test_retryhistory.py
+++ b/tests/test_retryhistory.py
@@ -58,7 +58,7 @@
             make_record([2]),
             make_record([3], 'b'),
         ):
-            self.archive.record(wire.RetriesTold('e1', record))
+            self.archive.record(wire.RetryReport('e1', record))
         self.clock.now += 2
         kept = self.archive.recall('e1')
         self.assertEqual(2000, kept.known_ms)
@@ -69,13 +69,13 @@
 
     def test_entry_of_another_name_gets_nothing(self):
         self.archive.recall('e1')
-        self.archive.record(wire.RetriesTold('e1', make_record([1])))
+        self.archive.record(wire.RetryReport('e1', make_record([1])))
         kept = self.archive.recall('e2')
         self.assertEqual((0, []), (kept.known_ms, kept.counted))
 
     def test_report_for_an_entry_that_never_connected(self):
         """Guards against memory that grows with names nobody has."""
-        self.archive.record(wire.RetriesTold('e9', make_record([1])))
+        self.archive.record(wire.RetryReport('e9', make_record([1])))
         self.assertEqual([], self.archive.recall('e9').counted)
 
     def test_number_of_entries_is_bounded(self):
@@ -83,7 +83,7 @@
         for number in range(3000):
             self.archive.recall(f'e{number}')
             self.archive.record(
-                wire.RetriesTold(f'e{number}', make_record([1]))
+                wire.RetryReport(f'e{number}', make_record([1]))
             )
         self.assertEqual([], self.archive.recall('e0').counted)
         self.assertEqual(1, len(self.archive.recall('e2999').counted))
@@ -108,14 +108,14 @@
     def test_answers_are_collected_for_a_second(self):
         """Guards against the answer of a process that has older numbers."""
         self.history.merge(
-            wire.RetriesKept(60_000, [make_record([1], age_ms=900)])
+            wire.RetryRecall(60_000, [make_record([1], age_ms=900)])
         )
         self.assertFalse(self.history.complete)
         self.history.merge(
-            wire.RetriesKept(60_000, [make_record([2], age_ms=100)])
+            wire.RetryRecall(60_000, [make_record([2], age_ms=100)])
         )
         self.history.merge(
-            wire.RetriesKept(60_000, [make_record([3], age_ms=500)])
+            wire.RetryRecall(60_000, [make_record([3], age_ms=500)])
         )
         self.clock.now += 1.1
         self.assertTrue(self.history.complete)
@@ -124,7 +124,7 @@
 
     def test_process_that_has_just_started_knows_nothing(self):
         """Guards against a clean past where all processes lost power."""
-        self.history.merge(wire.RetriesKept(3000, []))
+        self.history.merge(wire.RetryRecall(3000, []))
         self.clock.now += 2
         self.assertFalse(self.history.complete)
 
@@ -145,7 +145,7 @@
             self.clock.now,
             self.random,
             history,
-            lambda record: self.archive.record(wire.RetriesTold('e1', record)),
+            lambda record: self.archive.record(wire.RetryReport('e1', record)),
         )
 
     def spend_all(self, budgets):
--- a/tests/test_sharedreader.py
+++ b/tests/test_sharedreader.py
@@ -75,7 +75,7 @@
             self.messages_to_drop -= 1
             return True
         asker = getattr(message, 'asker', '')
-        is_update = isinstance(message, wire.PairsTold)
+        is_update = isinstance(message, wire.PairsUpdate)
         if is_update:
             self.updates.append(message)
         for name, reader in self.readers.items():
@@ -301,11 +301,11 @@
             copies=[list(row) for row in patch.copies],
         )
         reader = self.bus.readers['e1']
-        reader.handle(wire.PairsTold('', 0, 9, [patched]), None)
+        reader.handle(wire.PairsUpdate('', 0, 9, [patched]), None)
         self.assertEqual({}, self.held['e1'])
         whole = wire.StoredPair('routes', 5, False, before)
-        reader.handle(wire.PairsTold('', 0, 5, [whole]), None)
-        reader.handle(wire.PairsTold('', 5, 9, [patched]), None)
+        reader.handle(wire.PairsUpdate('', 0, 5, [whole]), None)
+        reader.handle(wire.PairsUpdate('', 5, 9, [patched]), None)
         self.assertEqual({'routes': after}, self.held['e1'])
 
     async def test_queries_are_answered_with_complete_values(self):
@@ -318,10 +318,10 @@
         reader = self.bus.readers['e1']
         for since, newest, count in ((0, 5, 100), (5, 12, 102)):
             whole = wire.StoredPair('routes', newest, False, make_routes(count))
-            reader.handle(wire.PairsTold('', since, newest, [whole]), None)
+            reader.handle(wire.PairsUpdate('', since, newest, [whole]), None)
         answers = []
         link = mock.Mock(send=answers.append)
-        reader.handle(wire.PairsAsk('e3', 9), link)
+        reader.handle(wire.PairsQuery('e3', 9), link)
         answered = answers[0].pairs[0]
         self.assertEqual(0, answered.base)
         self.assertEqual(make_routes(102), decompress_value(answered.stored))
@@ -366,7 +366,7 @@
         self.add('e1')
         await self.wait_held({'a': b'1'})
         newest = self.store.revision
-        update = wire.PairsTold('', newest, newest, [], 'e0', digest=12345)
+        update = wire.PairsUpdate('', newest, newest, [], 'e0', digest=12345)
         with mock.patch.object(
             self.store, 'list_all', wraps=self.store.list_all
         ) as listing:
@@ -381,7 +381,7 @@
         reader = self.bus.readers['e1']
         pairs = [wire.StoredPair(key, 5, False, b'1') for key in 'ab']
         first, last = (
-            wire.PairsTold('', 0, 5, [pair], 'e0', pieces=2, piece=number)
+            wire.PairsUpdate('', 0, 5, [pair], 'e0', pieces=2, piece=number)
             for number, pair in enumerate(pairs)
         )
         self.availability['e1'].clear()
@@ -401,7 +401,7 @@
         for number, pair in enumerate(pairs):
             for sender in ('e0', 'e2'):
                 reader.handle(
-                    wire.PairsTold(
+                    wire.PairsUpdate(
                         '', 0, 5, [pair], sender, pieces=2, piece=number
                     ),
                     None,
