--- a/primrosewood/crashguard.py
+++ b/primrosewood/crashguard.py
@@ -106,8 +106,8 @@
         self._causes: set[Cause] = set()
         self._trials = CrashTrials()
         self._stored = StoredCrashes()
-        self._untold: dict[str, frozenset[str]] = {}
-        self._tell_at = _NEVER
+        self._unreported: dict[str, frozenset[str]] = {}
+        self._report_at = _NEVER
         self._write_at = _NEVER
 
     def refuse_for(self, call: DirectCall) -> float | None:
@@ -155,15 +155,15 @@
         )
         self._review()
         for crash in changed:
-            self._untold[crash.endpoint] = crash.cleared
+            self._unreported[crash.endpoint] = crash.cleared
         turn = _TELL_TURN_SECONDS * self._deps.random.random()
-        self._tell_at = min(self._tell_at, self._now() + turn)
+        self._report_at = min(self._report_at, self._now() + turn)
 
-    def merge_from_peer(self, told: wire.CrashReport) -> None:
+    def merge_from_peer(self, report: wire.CrashReport) -> None:
         """Apply another entry's record of a crash."""
-        crash = _from_message(told)
-        if self._untold.get(crash.endpoint, frozenset()) <= crash.cleared:
-            self._untold.pop(crash.endpoint, None)
+        crash = _from_message(report)
+        if self._unreported.get(crash.endpoint, frozenset()) <= crash.cleared:
+            self._unreported.pop(crash.endpoint, None)
         if self._evidence.record(crash, self._now()):
             log_decision('crash_heard', **_describe_crash(crash))
             self._review()
@@ -189,9 +189,9 @@
     def tick(self) -> None:
         """Tell, write and forget what is due."""
         now = self._now()
-        if now >= self._tell_at:
-            self._tell_at = _NEVER
-            self._tell_cleared()
+        if now >= self._report_at:
+            self._report_at = _NEVER
+            self._report_cleared()
         if now >= self._write_at:
             self._write_at = _NEVER
             spawn(self._write(), 'crashes')
@@ -226,12 +226,12 @@
             self._write_at = self._now()
         self._deps.send(_to_message(crash))
 
-    def _tell_cleared(self) -> None:
-        untold, self._untold = self._untold, {}
+    def _report_cleared(self) -> None:
+        unreported, self._unreported = self._unreported, {}
         for crash in self._evidence.crashes:
-            if crash.endpoint in untold:
+            if crash.endpoint in unreported:
                 self._deps.send(_to_message(crash))
-        if untold:
+        if unreported:
             self._write_at = self._now()
 
     def _review(self) -> None:
@@ -291,15 +291,15 @@
     )
 
 
-def _from_message(told: wire.CrashReport) -> Crash:
+def _from_message(report: wire.CrashReport) -> Crash:
     return Crash(
-        endpoint=told.endpoint,
-        boot=told.boot,
-        service=told.service,
-        organisations=frozenset(told.organisations),
-        parts=frozenset(told.parts),
-        cleared=frozenset(told.cleared),
-        reporters=frozenset(told.reporters),
+        endpoint=report.endpoint,
+        boot=report.boot,
+        service=report.service,
+        organisations=frozenset(report.organisations),
+        parts=frozenset(report.parts),
+        cleared=frozenset(report.cleared),
+        reporters=frozenset(report.reporters),
     )
 
 
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -78,7 +78,7 @@
             metrics,
             random,
             broadcast=self._broadcast,
-            ask_entries=self._send_to_some,
+            query_entries=self._send_to_some,
             report_copy=self._report_copy,
         )
         self._reports = EngineReports()
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -38,7 +38,7 @@
     ----------
     broadcast
         Sends a message to all entries.
-    ask_entries
+    query_entries
         Sends a message to a few entries.
     report_copy
         Called with the address of another engine when a copy to it begins, and
@@ -53,7 +53,7 @@
         metrics: Metrics,
         random: RandomSource,
         broadcast: Callable[[Message], None],
-        ask_entries: Callable[[Message], None],
+        query_entries: Callable[[Message], None],
         report_copy: Callable[[str], None],
     ) -> None:
         """Create a mover that has no reading of the engine yet."""
@@ -63,7 +63,7 @@
         self._metrics = metrics
         self._random = random
         self._broadcast = broadcast
-        self._ask_entries = ask_entries
+        self._query_entries = query_entries
         self._report_copy = report_copy
         self._expected_ends = ExpectedEnds()
         self._mean_copy_seconds = _INITIAL_COPY_SECONDS
@@ -181,7 +181,7 @@
     async def _request_free_capacity(self) -> list[MoveTarget]:
         self._capacity_reply = asyncio.get_running_loop().create_future()
         query = wire.CapacityQuery(self._location.service)
-        self._ask_entries(query)
+        self._query_entries(query)
         try:
             async with asyncio.timeout(_CAPACITY_REPLY_TIMEOUT_SECONDS):
                 return await self._capacity_reply
@@ -242,7 +242,7 @@
         """Return whether an entry says that an engine takes calls."""
         identity = target.identity
         self._target_reply = _TargetReply(identity)
-        self._ask_entries(
+        self._query_entries(
             wire.TargetQuery(
                 identity.service, target.address, identity.name, identity.boot
             )
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -199,9 +199,9 @@
         """
         return self._send_to_some(message, limit=1)
 
-    def report_retries(self, told: wire.RetryReport) -> None:
+    def report_retries(self, report: wire.RetryReport) -> None:
         """Send retries to a few processes, which keep them for the next one."""
-        self._send_to_some(told, _RETRY_COPIES)
+        self._send_to_some(report, _RETRY_COPIES)
 
     def announce_call(
         self, backend: Backend, name: str, unread_tokens: int, whole_tokens: int
@@ -254,12 +254,12 @@
         given up, so that links which were heard lately come first.
         """
         links = self._links.items()
-        heard_first = chain(
+        active_first = chain(
             (each for each in links if not _is_silent(each[1])),
             (each for each in links if _is_silent(each[1])),
         )
         used: list[str] = []
-        for address, link in heard_first:
+        for address, link in active_first:
             if len(used) == limit:
                 break
             if link.send(message):
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -84,14 +84,14 @@
         self._clock = clock
         self._handle = handle
         self._metrics = metrics
-        self._last_heard_at = clock.monotonic()
+        self._last_received_at = clock.monotonic()
         self._link: Link | None = None
         self._task = spawn(self._run(), f'link to {url}')
 
     @property
     def silence(self) -> float:
         """Seconds since the peer was last heard."""
-        return self._clock.monotonic() - self._last_heard_at
+        return self._clock.monotonic() - self._last_received_at
 
     def check_silence(self) -> None:
         """Abort a connection on which nothing has arrived for too long.
@@ -148,7 +148,7 @@
             )
             await socket.send(serialise_frame([hello]))
             link = Link(socket, self._metrics)
-            self._last_heard_at = self._clock.monotonic()
+            self._last_received_at = self._clock.monotonic()
             self._link = link
             log_event('link_opened', peer=self._url)
             try:
@@ -161,7 +161,7 @@
                 log_event('link_closed', peer=self._url)
 
     def _handle_message(self, message: Message, link: Link) -> None:
-        self._last_heard_at = self._clock.monotonic()
+        self._last_received_at = self._clock.monotonic()
         self._handle(message, link)
 
 
--- a/primrosewood/retryhistory.py
+++ b/primrosewood/retryhistory.py
@@ -134,19 +134,19 @@
         """Start without reports."""
         self._clock = clock
         self._known_since: OrderedDict[str, float] = OrderedDict()
-        self._told: dict[str, dict[str, tuple[float, wire.RetryRecord]]] = {}
+        self._reports: dict[str, dict[str, tuple[float, wire.RetryRecord]]] = {}
 
-    def record(self, told: wire.RetryReport) -> None:
+    def record(self, report: wire.RetryReport) -> None:
         """Keep a report instead of the last one of that entry and service.
 
         Ignored if no process of that name has connected.
         """
-        if told.entry not in self._known_since:
+        if report.entry not in self._known_since:
             return
-        services = self._told.setdefault(told.entry, {})
-        services[told.counted.service] = (
+        services = self._reports.setdefault(report.entry, {})
+        services[report.counted.service] = (
             self._clock.monotonic(),
-            told.counted,
+            report.counted,
         )
 
     def recall(self, entry: str) -> wire.RetryRecall:
@@ -158,15 +158,15 @@
         return wire.RetryRecall(
             known_ms=int((now - known_since) * _MS_PER_SECOND),
             counted=[
-                _with_age(record, now - told_at)
-                for told_at, record in self._told.get(entry, {}).values()
+                _with_age(record, now - reported_at)
+                for reported_at, record in self._reports.get(entry, {}).values()
             ],
         )
 
     def _drop_oldest(self) -> None:
         while len(self._known_since) > _MAX_ENTRIES:
             entry, _since = self._known_since.popitem(last=False)
-            self._told.pop(entry, None)
+            self._reports.pop(entry, None)
 
 
 def _with_age(record: wire.RetryRecord, age: float) -> wire.RetryRecord:
--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -22,7 +22,7 @@
 
 __all__ = ('RolloutControl', 'RolloutDependencies', 'StatusWriter')
 
-_TELL_SECONDS = 0.25
+_REPORT_SECONDS = 0.25
 _RETIRE_SECONDS = 0.25
 _WRITE_RETRY_SECONDS = 0.5
 # Range of the random time for which an entry leaves a write to the others; an
@@ -93,7 +93,7 @@
         self._writing: set[str] = set()
         self._next_states: dict[str, RolloutState | None] = {}
         self._write_at: dict[str, float] = {}
-        self._told_at = float('-inf')
+        self._reported_at = float('-inf')
         self._retired_at = float('-inf')
 
     def find(self, service: str) -> Rollout | None:
@@ -175,15 +175,15 @@
         is_new = rollout.is_new(backend)
         rollout.evidence.record(route, backend.name, is_new, failed, pace)
 
-    def handle(self, told: wire.RolloutReport) -> None:
+    def handle(self, report: wire.RolloutReport) -> None:
         """Add the evidence of another entry."""
-        rollout = self._rollouts.get(told.service)
-        if rollout is None or rollout.order.revision != told.order:
+        rollout = self._rollouts.get(report.service)
+        if rollout is None or rollout.order.revision != report.order:
             return
         now = self._deps.clock.monotonic()
-        rollout.evidence.merge(told.sender, told.tallies, now)
-        if rollout.suspect(told.fault):
-            self._log_fault(rollout, told.sender)
+        rollout.evidence.merge(report.sender, report.tallies, now)
+        if rollout.suspect(report.fault):
+            self._log_fault(rollout, report.sender)
 
     def tick(self) -> None:
         """Judge, tell the others, and write what has to be written."""
@@ -193,10 +193,10 @@
                 rollout.postpone_takeover(now)
             if rollout.judge(now, self._find_domains(service)):
                 self._log_fault(rollout, self._deps.name)
-                self._told_at = float('-inf')
-        if now >= self._told_at + _TELL_SECONDS:
-            self._told_at = now
-            self._tell_evidence()
+                self._reported_at = float('-inf')
+        if now >= self._reported_at + _REPORT_SECONDS:
+            self._reported_at = now
+            self._report_evidence()
         if now >= self._retired_at + _RETIRE_SECONDS:
             self._retired_at = now
             self._retire_engines(now)
@@ -243,7 +243,7 @@
             source=source,
         )
 
-    def _tell_evidence(self) -> None:
+    def _report_evidence(self) -> None:
         for service, rollout in self._rollouts.items():
             if rollout.decided is not None:
                 continue
