Wait for replies and require keys in one place each

Read once more, the change had these twins: AwaitedNotice, the reply of an entry on a target, and EngineKeeper.wait_identified each waited for an event with a time limit (wait_until_set now); the product's interface and its administration each refused a missing bearer key (require_bearer_key now); two time limits for replies had the same value; two tests built the same frontend. A comment in rolloutcontrol still spoke of an address. Behaviour and assertions are as they were.

Checked: linters, and 148 tests of the modules concerned (empty values, moves, relay, keeper, settings, framing, engines, stop).

--- a/primrosewood/administration.py
+++ b/primrosewood/administration.py
@@ -22,7 +22,7 @@
 from .gen_keys import Keys
 from .gen_process import Limits
 from .httperrors import convert_http_exception, error_response
-from .identity import match_secret, parse_bearer_key
+from .identity import match_secret, require_bearer_key
 from .logs import log_event
 from .membership import EndpointView
 from .process import log_unexpected_error
@@ -241,9 +241,7 @@
         RequestFailedError
             The key is unknown, or its operator has no access to the team.
         """
-        key = parse_bearer_key(request.headers.get('Authorization', ''))
-        if key is None:
-            raise RequestFailedError(ErrorKind.unauthenticated)
+        key = require_bearer_key(request.headers.get('Authorization', ''))
         operator_name = None
         for name, operator in self._keys.operators.items():
             # Compares every key, so that the response time reveals nothing.
--- a/primrosewood/callers.py
+++ b/primrosewood/callers.py
@@ -23,7 +23,7 @@
 from .gen_caller import ChatRequest, CompletionRequest
 from .gen_process import Limits
 from .httperrors import convert_http_exception, error_response
-from .identity import parse_bearer_key
+from .identity import require_bearer_key
 from .logs import log_event
 from .metrics import Metrics
 from .process import log_unexpected_error
@@ -299,9 +299,7 @@
             raise _refusal_before_claim_read(
                 request, ErrorKind.settings_missing
             )
-        key = parse_bearer_key(request.headers.get('Authorization', ''))
-        if key is None:
-            raise RequestFailedError(ErrorKind.unauthenticated)
+        key = require_bearer_key(request.headers.get('Authorization', ''))
         return self._store.identify(key)
 
     def _deadline(self, request: web.Request, team: str, service: str) -> float:
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -23,6 +23,7 @@
 from .metrics import Metrics
 from .movableengine import EngineLocation, EngineReading, MovableEngine
 from .peerlink import PeerServer
+from .timers import wait_until_set
 from .waitingcalls import WaitingCalls
 
 __all__ = ('EngineKeeper',)
@@ -168,12 +169,8 @@
 
     async def wait_identified(self, seconds: float) -> None:
         """Wait until the engine is identified, at most some seconds."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self._identified.wait()
-        except TimeoutError:
-            return
-        self._identified.clear()
+        if await wait_until_set(self._identified, seconds):
+            self._identified.clear()
 
     def _is_idle(self) -> bool:
         if self._reading is None:
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 
 from . import gen_wire as wire
 from .backendstate import BackendIdentity
@@ -15,13 +14,12 @@
 from .movableengine import EngineLocation, EngineReading, MovableEngine
 from .moves import EngineRun, MoveTarget, choose_move_target, plan_moves
 from .process import spawn
+from .timers import wait_until_set
 
 __all__ = ('EngineMover',)
 
-# How long to wait for an entry to report engines with free capacity.
-_CAPACITY_REPLY_TIMEOUT_SECONDS = 0.25
-# The same for whether one engine still takes calls; the generation runs on.
-_TARGET_REPLY_TIMEOUT_SECONDS = 0.25
+# How long to wait for an entry's reply to a query; the generation runs on.
+_REPLY_TIMEOUT_SECONDS = 0.25
 _MAX_TARGETS_TRIED = 3
 # By then the engine and its possible targets have reported their load again.
 _RETRY_DELAY_SECONDS = 0.05
@@ -183,7 +181,7 @@
         query = wire.CapacityQuery(self._location.service)
         self._query_entries(query)
         try:
-            async with asyncio.timeout(_CAPACITY_REPLY_TIMEOUT_SECONDS):
+            async with asyncio.timeout(_REPLY_TIMEOUT_SECONDS):
                 return await self._capacity_reply
         except TimeoutError:
             log_event('no_entry_told_room', 'WARNING')
@@ -247,9 +245,7 @@
                 identity.service, target.address, identity.name, identity.boot
             )
         )
-        takes_calls = await self._target_reply.wait(
-            _TARGET_REPLY_TIMEOUT_SECONDS
-        )
+        takes_calls = await self._target_reply.wait(_REPLY_TIMEOUT_SECONDS)
         if takes_calls is None:
             log_event('no_entry_answered', 'WARNING', target=identity.name)
         return bool(takes_calls)
@@ -317,9 +313,7 @@
             self._received.set()
 
     async def wait(self, seconds: float) -> bool | None:
-        with suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._received.wait()
+        await wait_until_set(self._received, seconds)
         return self._takes_calls
 
 
--- a/primrosewood/identity.py
+++ b/primrosewood/identity.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from .errors import ErrorKind, RequestFailedError
+
 __all__ = (
     'digest_key',
     'digest_prompt_prefix',
@@ -13,6 +15,7 @@
     'make_identifier',
     'match_secret',
     'parse_bearer_key',
+    'require_bearer_key',
 )
 
 _IDENTIFIER_BYTES = 8
@@ -43,6 +46,20 @@
     return key.strip() or None
 
 
+def require_bearer_key(header: str) -> str:
+    """Return the key in an ``Authorization`` header.
+
+    Raises
+    ------
+    RequestFailedError
+        ``unauthenticated`` when there is none.
+    """
+    key = parse_bearer_key(header)
+    if key is None:
+        raise RequestFailedError(ErrorKind.unauthenticated)
+    return key
+
+
 def match_secret(secret: str, expected_sha256: str) -> bool:
     """Compare a secret with a stored SHA-256 hash in constant time."""
     return hmac.compare_digest(hash_secret(secret), expected_sha256)
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -9,10 +9,11 @@
 
 import asyncio
 from collections.abc import Collection, Iterator, Sequence
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from .backendstate import BackendIdentity, BackendRecord
+from .timers import wait_until_set
 
 __all__ = (
     'AwaitedNotice',
@@ -254,7 +255,5 @@
 
     async def wait(self, seconds: float) -> MoveNotice | None:
         """Return the notice, None if none arrives in time."""
-        with suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._received.wait()
+        await wait_until_set(self._received, seconds)
         return self._notice
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -75,10 +75,10 @@
         self._content = content
 
     def set_exception(
-        self, exc: BaseException, exc_cause: BaseException | None = None
+        self, exc: BaseException, *exc_cause: BaseException
     ) -> None:
         """Handle bytes that are no response, or another fault."""
-        super().set_exception(exc, exc_cause or exc)
+        super().set_exception(exc, *exc_cause)
         # Bytes after a whole response belong to no call.
         if self._content is not None and not self._content.is_eof():
             self._content.set_exception(
--- a/primrosewood/rolloutcontrol.py
+++ b/primrosewood/rolloutcontrol.py
@@ -68,8 +68,8 @@
     send
         Sends a message to a process that forwards it to the other entries.
     retire
-        Tells the process beside an engine, by the engine's address, to move its
-        generations away within some seconds; negative ones take that back.
+        Tells the process beside an engine to move its generations away within
+        some seconds; negative ones take that back.
     """
 
     name: str
--- a/primrosewood/timers.py
+++ b/primrosewood/timers.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
-__all__ = ('ConditionalTimeout', 'TimerGroup')
+__all__ = ('ConditionalTimeout', 'TimerGroup', 'wait_until_set')
 
 _RECHECK_SECONDS = 0.2
 
@@ -90,3 +90,11 @@
             self._timeout.reschedule(asyncio.get_running_loop().time())
         else:
             self._schedule(_RECHECK_SECONDS)
+
+
+async def wait_until_set(event: asyncio.Event, seconds: float) -> bool:
+    """Wait for an event, at most some seconds; return whether it is set."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    return event.is_set()
--- a/tests/movetargets.py
+++ b/tests/movetargets.py
@@ -4,9 +4,7 @@
 from primrosewood.moves import MoveTarget
 
 
-def make_target(
-    address, failure_domain, free_tokens, receiving=False, service='s'
-):
+def make_target(address, failure_domain, free_tokens, receiving=False):
     """Return a target whose name is its address."""
-    identity = BackendIdentity(service, address, 1)
+    identity = BackendIdentity('s', address, 1)
     return MoveTarget(identity, address, failure_domain, free_tokens, receiving)
--- a/tests/test_empty_values.py
+++ b/tests/test_empty_values.py
@@ -63,16 +63,23 @@
 }
 
 
-def encode(document):
-    return document if isinstance(document, bytes) else json.dumps(document)
-
-
 def make_pair(key, document, revision=1):
     """Return a key's value; a document of bytes is stored as it is."""
-    stored = encode(document)
-    if isinstance(stored, str):
-        stored = stored.encode()
-    return Pair(key, stored, revision)
+    if not isinstance(document, bytes):
+        document = json.dumps(document).encode()
+    return Pair(key, document, revision)
+
+
+def make_frontend(relay, tables, metrics):
+    return HttpFrontend(
+        relay,
+        tables,
+        SystemClock(),
+        random.Random(1),
+        metrics,
+        StopWindow(8, 4),
+        1_000_000,
+    )
 
 
 def without(document, name):
@@ -107,15 +114,7 @@
         )
         self.discovery.guard = mock.Mock()
         self.relay = _RecordingRelay()
-        self.frontend = HttpFrontend(
-            self.relay,
-            self.tables,
-            SystemClock(),
-            random.Random(1),
-            Metrics(),
-            StopWindow(8, 4),
-            1_000_000,
-        )
+        self.frontend = make_frontend(self.relay, self.tables, Metrics())
 
     def apply(self, key, document, revision=1):
         pair = None
@@ -431,15 +430,7 @@
         tables.replace_if_newer(
             documents.parse_table(json.dumps(_TABLE).encode())
         )
-        frontend = HttpFrontend(
-            relay,
-            tables,
-            SystemClock(),
-            random.Random(1),
-            metrics,
-            StopWindow(8, 4),
-            1_000_000,
-        )
+        frontend = make_frontend(relay, tables, metrics)
         for key in ('k1', 'never-held'):
             await frontend.handle(
                 make_mocked_request(
