Log whether the number of entries is known as a retry is decided

Hypotheses of the incident of retries differ in whether an entry knew by how many to divide the limit, or took those connected just then for all. The line had the number, but not which of the two it was.

--- a/primrosewood/retrybudgets.py
+++ b/primrosewood/retrybudgets.py
@@ -81,6 +81,7 @@
             retries=budget.repeats,
             requests=budget.requests,
             entries=self._entries.shares,
+            known=self._entries.known,
             up=now - self._started_at,
             past_known=past_known,
         )
