Add a run of real processes that counts retries where they arrive

This run starts entries, processes beside engines and back ends of a small deployment on loopback, with settings rendered from the templates of the deployment. Back ends log each arrival; the check counts arrivals beyond the first of each request in any window. Disruptions are drawn from a seed: starts in turn, SIGSTOP, kills and restarts with the settings as they were, engines that leave, refusals, resets, calls that hang.

--- /dev/null
+++ b/tests/processes/retrylimit/scenario.py
@@ -0,0 +1,407 @@
+"""Seeded disruptions of a deployment, and the run that meets them."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import time
+from dataclasses import dataclass, field
+from random import Random
+
+import aiohttp
+
+from standins.fleet import make_route
+
+from .checker import RetryLimit, find_peaks
+from .fleet import Fleet
+from .load import Balancer, CallerKind, Callers
+
+_READY_SECONDS = 40
+# From the start of the back ends until an entry can be ready.
+_REGISTRATION_SECONDS = 0.5
+_LEAVE_SECONDS = 1.9
+_RESTART_SECONDS = 0.7
+
+KINDS = (
+    CallerKind('/guide/', 'model', 'POST', 5.3, 39, 150, '1000,600'),
+    CallerKind('/label/', 'model', 'POST', 7.5, 6, 3, '1000,12'),
+    CallerKind('/reorder/', 'desk', 'POST', 32.4, 2.5),
+    CallerKind('/check/', 'desk', 'GET', 13.0, 2.5),
+)
+TABLE = {
+    'version': 1,
+    'routes': [
+        make_route(
+            'guide', '/guide/', 'streaming', 'model', timeout_ms=39_000,
+            goal_ms=1800, gap_aim_ms=180,
+        ),
+        make_route(
+            'label', '/label/', 'streaming', 'model', timeout_ms=6000,
+            goal_ms=1500, gap_aim_ms=180,
+        ),
+        make_route(
+            'reorder', '/reorder/', 'non_idempotent', 'desk', timeout_ms=1200,
+            goal_ms=150,
+        ),
+        make_route(
+            'check', '/check/', 'idempotent', 'desk', timeout_ms=1200,
+            goal_ms=150,
+        ),
+    ],
+    'services': [
+        {
+            'name': 'model',
+            'engine': {'slots': 24, 'kv_capacity': 34_310, 'moves': True},
+        },
+        {'name': 'desk'},
+    ],
+}  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Calls to back ends of a service that meet a fault for some time."""
+
+    kind: str
+    service: str
+    begin: float
+    end: float
+    share: float = 0.9
+
+
+@dataclass(frozen=True)
+class Stop:
+    """Processes that are stopped by SIGSTOP for some time.
+
+    Attributes
+    ----------
+    group
+        ``entries``, ``endpoints``, ``engines`` or ``services``.
+    numbers
+        Which of the group.
+    """
+
+    group: str
+    numbers: tuple[int, ...]
+    begin: float
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Kill:
+    """Processes that are killed and restarted after a moment."""
+
+    group: str
+    numbers: tuple[int, ...]
+    begin: float
+
+
+@dataclass
+class Scenario:
+    """What happens in a run; times are seconds after the back ends have started.
+
+    Attributes
+    ----------
+    gaps
+        Seconds from the start of one entry to the next.
+    first_start
+        Whether the settings say that the deployment starts for the first time.
+    says_first_again
+        Whether the settings of a restarted entry still say so.
+    leaves
+        When an engine leaves and another one starts in its place.
+    """
+
+    seed: int
+    gaps: tuple[float, ...]
+    seconds: float = 36.0
+    first_start: bool = True
+    says_first_again: bool = True
+    faults: list[Fault] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    kills: list[Kill] = field(default_factory=list)
+    leaves: tuple[float, ...] = ()
+
+    def describe(self):
+        return json.dumps(self.__dict__, default=lambda each: each.__dict__)
+
+
+def draw_scenario(seed, size):
+    """Return the disruptions of a seed."""
+    random = Random(seed)
+    counts = {
+        'entries': sum(size.entries),
+        'endpoints': sum(size.engines),
+        'engines': sum(size.engines),
+        'services': sum(size.services),
+    }
+
+    def some(group, share):
+        number = max(1, round(counts[group] * share))
+        return tuple(random.sample(range(counts[group]), number))
+
+    longest = random.choice((0.1, 0.1, 1.5, 4.0))
+    scenario = Scenario(
+        seed,
+        tuple(random.uniform(0, longest) for _ in range(counts['entries'])),
+        first_start=random.random() < 0.8,
+        says_first_again=random.random() < 0.5,
+    )
+    refused_from = random.choice((0.0, random.uniform(3, 14)))
+    for service in random.choice((('desk',), ('model',), ('desk', 'model'))):
+        scenario.faults.append(
+            Fault(
+                random.choice(('refuse', 'refuse', 'refuse', 'reset')),
+                service,
+                refused_from,
+                refused_from + random.uniform(10, 25),
+                random.choice((0.5, 0.9)),
+            )
+        )
+    for kind in random.sample(('hang', 'late', 'reset'), random.choice((0, 1))):
+        begin = random.uniform(0, 20)
+        end = begin + random.uniform(2, 8)
+        service = random.choice(('desk', 'model'))
+        scenario.faults.append(Fault(kind, service, begin, end, 0.5))
+    for _ in range(random.choice((0, 1, 2, 3))):
+        group = random.choice(('services', 'services', *counts))
+        share = random.choice((0.2, 0.5, 1.0))
+        scenario.stops.append(
+            Stop(
+                group,
+                some(group, share),
+                random.uniform(max(0, refused_from - 6), refused_from + 8),
+                random.uniform(1, 9),
+            )
+        )
+    for _ in range(random.choice((0, 1, 2, 4))):
+        group = random.choice(('entries', 'entries', 'endpoints'))
+        scenario.kills.append(
+            Kill(
+                group,
+                some(group, random.choice((0.2, 0.5, 1.0))),
+                random.uniform(refused_from, refused_from + 14),
+            )
+        )
+    if random.random() < 0.5:
+        scenario.leaves = tuple(
+            random.uniform(2, 30) for _ in range(random.choice((3, 8)))
+        )
+    return scenario
+
+
+def draw_starts(seed, size):
+    """Return starts in turn of a new deployment whose back ends refuse calls."""
+    random = Random(seed)
+    gap = random.uniform(0.5, 4)
+    return Scenario(
+        seed,
+        tuple(gap for _ in range(sum(size.entries))),
+        faults=_refuse_both(0, 30),
+    )
+
+
+def draw_kills(seed, size):
+    """Return kills of all entries, whose settings still say they are new."""
+    random = Random(seed)
+    everyone = tuple(range(sum(size.entries)))
+    first = random.uniform(12, 15)
+    gap = random.uniform(2.5, 5)
+    return Scenario(
+        seed,
+        (0.1,) * len(everyone),
+        faults=_refuse_both(first - 1.5, 36),
+        kills=[
+            Kill('entries', everyone, first + number * gap)
+            for number in range(random.choice((1, 3, 5)))
+        ],
+    )
+
+
+def draw_stops(seed, size):
+    """Return back ends that stop reading, and refuse calls as they go on."""
+    random = Random(seed)
+    begin, seconds = random.uniform(12, 15), random.uniform(3, 9)
+    share = random.choice((0.25, 0.5, 1.0))
+    stops = []
+    for group, counts in (
+        ('engines', size.engines),
+        ('services', size.services),
+    ):
+        number = round(sum(counts) * share)
+        numbers = tuple(random.sample(range(sum(counts)), number))
+        stops.append(Stop(group, numbers, begin, seconds))
+    return Scenario(
+        seed,
+        (0.1,) * sum(size.entries),
+        faults=_refuse_both(begin + seconds, 36),
+        stops=stops,
+    )
+
+
+def _refuse_both(begin, end):
+    return [Fault('refuse', name, begin, end) for name in ('desk', 'model')]
+
+
+DRAWS = {
+    'mixed': draw_scenario,
+    'starts': draw_starts,
+    'kills': draw_kills,
+    'stops': draw_stops,
+}
+
+
+@dataclass(frozen=True)
+class Result:
+    """What a run showed."""
+
+    peaks: list
+    requests: int
+    arrivals: int
+    outcomes: dict
+
+    def describe(self):
+        peaks = '; '.join(
+            f'{peak.service}: {peak.retries} of {peak.allowed:.0f} allowed'
+            for peak in self.peaks
+        )
+        return f'{self.requests} requests, {self.arrivals} arrivals; {peaks}'
+
+
+class ScenarioRun:
+    """Plays a scenario on a deployment."""
+
+    def __init__(self, scenario, size, network, folder):
+        self._scenario = scenario
+        self._size = size
+        self._random = Random(f'{scenario.seed} run')
+        self._fleet = Fleet(size, network, folder, scenario.first_start)
+        self._begun_at = 0.0
+
+    async def play(self):
+        """Return the result, after all processes have been killed."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._fleet.kill_all)
+            await self._fleet.serve_store(stack, TABLE)
+            session = await stack.enter_async_context(_make_session())
+            balancer = Balancer(
+                self._fleet.entries, Random(f'{self._scenario.seed} balancer')
+            )
+            probes = asyncio.create_task(balancer.run(session))
+            stack.callback(probes.cancel)
+            callers = Callers(balancer, KINDS, self._random)
+            await self._play(session, balancer, callers)
+        arrivals = self._fleet.read_arrivals()
+        limit = RetryLimit(
+            self._size.ratio, self._size.slack, self._size.window
+        )
+        return Result(
+            find_peaks(limit, callers.sent, arrivals),
+            len(callers.sent),
+            len(arrivals),
+            dict(callers.outcomes),
+        )
+
+    async def _play(self, session, balancer, callers):
+        async with asyncio.TaskGroup() as tasks:
+            starts = tasks.create_task(self._start_in_turn())
+            for endpoint in self._fleet.endpoints:
+                endpoint.start()
+                await asyncio.sleep(0)
+            async with asyncio.timeout(_READY_SECONDS):
+                await balancer.wait_listening(session)
+                self._begun_at = time.monotonic() + _REGISTRATION_SECONDS
+                await self._start_backends()
+                while not balancer.any_ready:
+                    await asyncio.sleep(0.02)
+            for disruption in self._list_disruptions():
+                tasks.create_task(disruption)
+            await callers.run(session, self._scenario.seconds)
+            await starts
+
+    async def _start_in_turn(self):
+        for entry, gap in zip(
+            self._fleet.entries, self._scenario.gaps, strict=True
+        ):
+            entry.start()
+            await asyncio.sleep(gap)
+
+    async def _start_backends(self):
+        for backend in self._fleet.backends:
+            backend.settings['faults'] = [
+                (
+                    fault.kind,
+                    self._begun_at + fault.begin,
+                    self._begun_at + fault.end,
+                    fault.share,
+                )
+                for fault in self._scenario.faults
+                if fault.service == backend.service
+            ]
+            backend.start()
+            await self._fleet.register(backend)
+
+    def _list_disruptions(self):
+        for stop in self._scenario.stops:
+            yield self._stop(stop)
+        for kill in self._scenario.kills:
+            yield self._kill(kill)
+        for at in self._scenario.leaves:
+            yield self._leave(at)
+
+    async def _wait(self, seconds):
+        await asyncio.sleep(self._begun_at + seconds - time.monotonic())
+
+    def _find(self, group, numbers):
+        service = {'engines': 'model', 'services': 'desk'}.get(group)
+        parts = (
+            [each for each in self._fleet.backends if each.service == service]
+            if service
+            else getattr(self._fleet, group)
+        )
+        return [parts[number] for number in numbers]
+
+    async def _stop(self, stop):
+        await self._wait(stop.begin)
+        parts = self._find(stop.group, stop.numbers)
+        for part in parts:
+            part.program.signal(signal.SIGSTOP)
+        await asyncio.sleep(stop.seconds)
+        for part in parts:
+            part.program.signal(signal.SIGCONT)
+
+    async def _kill(self, kill):
+        await self._wait(kill.begin)
+        parts = self._find(kill.group, kill.numbers)
+        parts = [part for part in parts if part.program.process is not None]
+        for part in parts:
+            part.program.kill()
+        await asyncio.sleep(_RESTART_SECONDS)
+        for part in parts:
+            part.is_first = part.is_first and self._scenario.says_first_again
+            part.start()
+
+    async def _leave(self, at):
+        await self._wait(at)
+        engines = [e for e in self._fleet.backends if e.service == 'model']
+        engine = self._random.choice(engines)
+        await self._fleet.register(engine, 'draining')
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with aiohttp.ClientSession() as session:
+                await session.post(
+                    f'http://{engine.address}/leave',
+                    json={'seconds': _LEAVE_SECONDS},
+                    timeout=aiohttp.ClientTimeout(total=1),
+                )
+        await asyncio.sleep(_LEAVE_SECONDS)
+        self._fleet.store.delete(engine.key)
+        engine.program.kill()
+        await asyncio.sleep(_RESTART_SECONDS)
+        engine.start()
+        await self._fleet.register(engine)
+
+
+def _make_session():
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True)
+    )
