Share the retry limit of a new deployment only once its past is known

Callers of a new deployment, or of entries that were restarted with the settings of one, caused more retries than the limit allows.

Cause: `new_deployment` in the settings was taken for a fact. An entry then divided the limit by the entries connected at that moment, at first itself alone, and took its own past for empty. Entries that start one after the other each spend a larger share than the next, and one that is killed has a whole share at each start for as long as its settings say so.

Now nobody is told that there is no past. The setting is still read, and ignored.

--- a/primrosewood/entrycount.py
+++ b/primrosewood/entrycount.py
@@ -67,23 +67,19 @@
     ----------
     entries
         Their number, if it is known.
-    new_deployment
-        Whether no entry has run before.  Those connected then are all entries,
-        whereas those that a restarted entry hears of may be a part of them.
     """
 
-    def __init__(self, entries: int, new_deployment: bool = False) -> None:
+    def __init__(self, entries: int) -> None:
         """Start with a number that is known."""
-        self._new_deployment = new_deployment
         self._count = entries
         self._known = entries
         self._recent = _RecentMaximum()
         self._grown_at = float('inf')
 
     @classmethod
-    def assume(cls, entries: int, new_deployment: bool = False) -> 'EntryCount':
+    def assume(cls, entries: int) -> 'EntryCount':
         """Return a number that is a guess until the first report."""
-        guess = cls(entries, new_deployment)
+        guess = cls(entries)
         guess.restore(0)
         return guess
 
@@ -111,10 +107,10 @@
     def known(self) -> bool:
         """Whether limits may be divided by `shares` without reserve.
 
-        In a new deployment no entry has used any part of a limit, and the
-        guess holds until the first report.
+        The entries connected just now may be a part of them, also as a
+        deployment starts for the first time.
         """
-        return bool(self._known) or self._new_deployment
+        return bool(self._known)
 
     def share_of(self, limit: float) -> float:
         """Return an equal part of a limit, 0 while their number is unknown."""
--- a/primrosewood/gen_node.py
+++ b/primrosewood/gen_node.py
@@ -127,16 +127,11 @@
     entry: EntryNode | UnsetType = UNSET
     endpoint: EndpointNode | UnsetType = UNSET
     new_deployment: (
-        Annotated[
-            bool,
-            Meta(
-                description='Whether the whole deployment starts for the first time, so that no entry has run before.'
-            ),
-        ]
+        Annotated[bool, Meta(description='Ignored. Settings of older builds have it.')]
         | UnsetType
     ) = False
     """
-    Whether the whole deployment starts for the first time, so that no entry has run before.
+    Ignored. Settings of older builds have it.
     """
     seeds: (
         Annotated[
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -57,7 +57,7 @@
         self._clock = SystemClock()
         self._metrics = Metrics()
         self._tables = TableHolder()
-        self._entries = make_entry_count(settings)
+        self._entries = make_entry_count()
         self._history = make_history(settings, self._clock)
         self._backends = BackendSet(
             self._entries,
--- a/primrosewood/platform/rules.py
+++ b/primrosewood/platform/rules.py
@@ -14,15 +14,15 @@
 _ASSUMED_ENTRIES = 8
 
 
-def make_entry_count(settings: NodeSettings) -> EntryCount:
+def make_entry_count() -> EntryCount:
     """Return the number of entries as a process that starts knows it."""
-    return EntryCount.assume(_ASSUMED_ENTRIES, settings.new_deployment)
+    return EntryCount.assume(_ASSUMED_ENTRIES)
 
 
 def make_history(settings: NodeSettings, clock: Clock) -> RetryHistory:
     """Return the retries of the process before, which are to be learned."""
     repeats = make_rules(settings).repeats
-    return RetryHistory(clock, repeats.retry_seconds, settings.new_deployment)
+    return RetryHistory(clock, repeats.retry_seconds)
 
 
 def make_rules(settings: NodeSettings) -> RelayRules:
