--- a/tests/processes/retrylimit/scenario.py
+++ b/tests/processes/retrylimit/scenario.py
@@ -103,7 +103,8 @@
     Attributes
     ----------
     gaps
-        Seconds from the start of one entry to the next.
+        Seconds from the start of one entry to the next; the first one listens
+        before the others start.
     first_start
         Whether the settings say that the deployment starts for the first time.
     says_first_again
@@ -143,7 +144,7 @@
     longest = random.choice((0.1, 0.1, 1.5, 4.0))
     scenario = Scenario(
         seed,
-        tuple(random.uniform(0, longest) for _ in range(counts['entries'])),
+        tuple(random.uniform(0, longest) for _ in range(counts['entries'] - 1)),
         first_start=random.random() < 0.8,
         says_first_again=random.random() < 0.5,
     )
@@ -196,7 +197,7 @@
     gap = random.uniform(0.5, 4)
     return Scenario(
         seed,
-        tuple(gap for _ in range(sum(size.entries))),
+        (gap,) * (sum(size.entries) - 1),
         faults=_refuse_both(0, 30),
     )
 
@@ -209,7 +210,7 @@
     gap = random.uniform(2.5, 5)
     return Scenario(
         seed,
-        (0.1,) * len(everyone),
+        (0.1,) * (len(everyone) - 1),
         faults=_refuse_both(first - 1.5, 36),
         kills=[
             Kill('entries', everyone, first + number * gap)
@@ -233,7 +234,7 @@
         stops.append(Stop(group, numbers, begin, seconds))
     return Scenario(
         seed,
-        (0.1,) * sum(size.entries),
+        (0.1,) * (sum(size.entries) - 1),
         faults=_refuse_both(begin + seconds, 36),
         stops=stops,
     )
@@ -304,7 +305,7 @@
 
     async def _play(self, session, balancer, callers):
         async with asyncio.TaskGroup() as tasks:
-            starts = tasks.create_task(self._start_in_turn())
+            self._fleet.entries[0].start()
             for endpoint in self._fleet.endpoints:
                 endpoint.start()
                 await asyncio.sleep(0)
@@ -312,19 +313,18 @@
                 await balancer.wait_listening(session)
                 self._begun_at = time.monotonic() + _REGISTRATION_SECONDS
                 await self._start_backends()
+                tasks.create_task(self._start_others())
                 while not balancer.any_ready:
                     await asyncio.sleep(0.02)
             for disruption in self._list_disruptions():
                 tasks.create_task(disruption)
             await callers.run(session, self._scenario.seconds)
-            await starts
 
-    async def _start_in_turn(self):
-        for entry, gap in zip(
-            self._fleet.entries, self._scenario.gaps, strict=True
-        ):
-            entry.start()
+    async def _start_others(self):
+        others = self._fleet.entries[1:]
+        for entry, gap in zip(others, self._scenario.gaps, strict=True):
             await asyncio.sleep(gap)
+            entry.start()
 
     async def _start_backends(self):
         for backend in self._fleet.backends:
