Count a retry for as long as an earlier send of its call may be read

Callers of a service whose back ends stop reading for some seconds, and refuse calls as they go on, caused more arrivals beyond the first of each request than the limit on retries allows.

Cause: a retry counted from its decision on for a window and half a second. A send that is given up stays in the back end's socket, also after its connection is closed, and is read when the back end goes on. All of these arrive at once, beside the retries of the window that begins then.

Now such a retry is held until its back end answers a call that was sent later, 10 s at most, and counts for a window from then. A call of which one send was given up and another taken has one retry that may come late, whichever of the two it is.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -21,6 +21,7 @@
 )
 from .callevidence import CallEvidence
 from .callprogress import CallProgress
+from .callretries import CallRetries
 from .candidates import Candidates
 from .clock import Clock, RandomSource
 from .crashguard import CrashGuard
@@ -156,7 +157,7 @@
             dependencies.rollouts,
             dependencies.rules.cold,
         )
-        self._retries = RetryBudgets(
+        self._budgets = RetryBudgets(
             dependencies.rules.repeats,
             dependencies.entries,
             dependencies.started_at,
@@ -164,6 +165,7 @@
             dependencies.history,
             dependencies.report_retries,
         )
+        self._retries = CallRetries(self._budgets, dependencies.clock.monotonic)
         self._prompt_rates: dict[str, PromptRateEstimator] = {}
         self.evidence = CallEvidence(
             dependencies.clock, dependencies.rollouts, dependencies.guard
@@ -173,11 +175,11 @@
         """Apply changed limits; the calls and retries so far still count."""
         self._rules = rules
         self._candidates.cold_rule = rules.cold
-        self._retries.update_rule(rules.repeats)
+        self._budgets.update_rule(rules.repeats)
 
     def record_arrival(self, call: DirectCall) -> None:
         """Count a caller's request towards the retry budget."""
-        self._retries.record_request(call.service, self._now())
+        self._budgets.record_request(call.service, self._now())
 
     def choose(self, progress: CallProgress) -> Backend:
         """Return the back end that gets a call.
@@ -306,7 +308,7 @@
         now = self._now()
         call = progress.call
         if backend_attempt.resumption is not None:
-            self._spend_resumption(progress, now)
+            self._spend_resumption(progress)
         backend_attempt.backend.cold_limit.record_call(now)
         self._deps.count_call(backend_attempt.backend)
         progress.sends += 1
@@ -320,17 +322,16 @@
             )
         try:
             yield reservation
-        except NotRunError as error:
-            self.evidence.record_refusal(backend_attempt.backend, error)
-            raise
-        except BackendCutError:
-            self.evidence.record_cut(call, backend_attempt.backend)
-            raise
-        except asyncio.CancelledError:
-            self.evidence.record_unanswered(call, reservation, now)
+        except (
+            NotRunError,
+            BackendCutError,
+            asyncio.CancelledError,
+        ) as error:
+            self._record_failed_send(progress, reservation, now, error)
             raise
         else:
             backend_attempt.backend.record_success()
+            self._retries.record_answer(backend_attempt.backend, now)
             self._observe_prompt_rate(call, reservation, backlog, now)
         finally:
             reservation.release()
@@ -531,7 +532,7 @@
                 raise self._make_refusal(progress, now, error)
             # The next send takes the place of one that never arrived.
             unreachable = isinstance(error, UnreachableError)
-            if unreachable or self._retries.spend(call, now):
+            if unreachable or self._retries.take(progress):
                 return
         seconds = self._candidates.seconds_until_call(call.service, now)
         raise self.make_failure(
@@ -541,11 +542,30 @@
             seconds or _RETRY_AFTER_SECONDS,
         )
 
-    def _spend_resumption(self, progress: CallProgress, now: float) -> None:
-        if not self._retries.spend(progress.call, now, resumes=True):
+    def _spend_resumption(self, progress: CallProgress) -> None:
+        if not self._retries.take(progress, resumes=True):
             why = NotRunError(ErrorKind.overloaded, 'no retry is left')
             raise self.make_failure(progress, ErrorKind.outcome_unknown, why)
 
+    def _record_failed_send(
+        self,
+        progress: CallProgress,
+        reservation: Reservation,
+        sent_at: float,
+        error: BaseException,
+    ) -> None:
+        call, backend = progress.call, reservation.backend
+        if isinstance(error, NotRunError):
+            self.evidence.record_refusal(backend, error)
+            if not isinstance(error, UnreachableError):
+                self._retries.record_answer(backend, sent_at)
+        elif isinstance(error, BackendCutError):
+            self.evidence.record_cut(call, backend)
+        else:
+            self.evidence.record_unanswered(call, reservation, sent_at)
+            if not reservation.answered:
+                self._retries.record_unread(progress, backend, sent_at)
+
     def _now(self) -> float:
         return self._deps.clock.monotonic()
 
--- a/primrosewood/callprogress.py
+++ b/primrosewood/callprogress.py
@@ -4,6 +4,7 @@
 
 from .directcalls import DirectCall
 from .events import StreamOrder
+from .unreadsends import UnreadSend
 
 __all__ = ('CallProgress',)
 
@@ -16,6 +17,12 @@
     ----------
     sends
         Times that the call was sent to a back end.
+    retries
+        Retries that were taken for the call.
+    unread
+        Sends that were given up before a back end answered them.
+    held
+        Number of its retries that count until such a send is settled.
     possible_runs
         Number of back ends that may have run the call.
     failed_backends
@@ -40,6 +47,9 @@
 
     call: DirectCall
     sends: int = 0
+    retries: int = 0
+    unread: list[UnreadSend] = field(default_factory=list)
+    held: int = 0
     possible_runs: int = 0
     failed_backends: set[str] = field(default_factory=set)
     order: StreamOrder = field(default_factory=StreamOrder)
--- a/primrosewood/repeatbudget.py
+++ b/primrosewood/repeatbudget.py
@@ -8,12 +8,14 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
-from itertools import accumulate, chain
+from itertools import accumulate, chain, repeat
 
 from . import gen_wire as wire
+from .backendstate import Backend
 from .entrycount import EntryCount
 from .retryhistory import EarlierRetries, count_by_interval
 from .sharedlimits import drop_before
+from .unreadsends import HeldRetries, UnreadSend
 
 __all__ = ('RepeatBudget', 'RepeatRule')
 
@@ -109,6 +111,7 @@
         self._requests: deque[float] = deque()
         self._older_requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
+        self._held = HeldRetries()
 
     @property
     def requests(self) -> int:
@@ -117,8 +120,13 @@
 
     @property
     def repeats(self) -> int:
-        """Number of retries in the window, as of the last call."""
-        return len(self._repeats)
+        """Number of retries that count, as of the last call."""
+        return len(self._repeats) + len(self._held)
+
+    @property
+    def held(self) -> int:
+        """Number of these that count until an earlier send is settled."""
+        return len(self._held)
 
     def record_request(self, now: float) -> None:
         """Count a caller's request, which earns retries."""
@@ -151,14 +159,30 @@
             self._repeats.append(now)
         return allowed
 
+    def hold(self, unread: UnreadSend) -> None:
+        """Count the newest retry until an unread send of its call is settled.
+
+        That send may arrive at any time until then, and counts when it does.
+        """
+        if self._repeats:
+            self._repeats.pop()
+        self._held.add(unread)
+
+    def settle(self, backend: Backend, sent_at: float, now: float) -> None:
+        """Count held retries as just made whose send has been read by now."""
+        released = self._held.settle(backend, sent_at)
+        self._repeats.extend(repeat(now, released))
+
     def make_record(self, service: str, now: float) -> wire.RetryRecord:
         """Return the requests and retries that count for the next process."""
+        retries = self._count_repeats(now)
+        retries[0] += len(self._held)
         return wire.RetryRecord(
             service=service,
             age_ms=0,
             interval_ms=self.rule.interval_ms,
             requests=self._count_requests(now),
-            retries=self._count_repeats(now),
+            retries=retries,
         )
 
     def _fits_share(self, now: float, resumes: bool) -> bool:
@@ -180,7 +204,7 @@
     def _fits(self, used_share: float, slack: float) -> bool:
         """Return whether one more retry fits the requests of the window."""
         earned = self.rule.ratio * len(self._requests)
-        needed = len(self._repeats) + self._rounding
+        needed = self.repeats + self._rounding
         return needed <= used_share * (earned + slack)
 
     def _fits_all_windows(self, now: float) -> bool:
@@ -201,7 +225,8 @@
                 requests_after, start - _HALF_WINDOW, _INTERVALS_PER_WINDOW
             )
             earned = self.rule.ratio * (before + around) / 2
-            needed = repeats_after[start + travel] + self._rounding
+            needed = repeats_after[start + travel] + self.held
+            needed += self._rounding
             if needed > _WINDOW_SHARE * (earned + slack):
                 return False
         return True
@@ -225,6 +250,7 @@
         while self._requests and self._requests[0] < now - window:
             self._older_requests.append(self._requests.popleft())
         drop_before(self._older_requests, now - 2 * window)
+        self._repeats.extend(repeat(now, self._held.expire(now)))
         drop_before(self._repeats, now - self.rule.retry_seconds)
 
 
--- a/primrosewood/retrybudgets.py
+++ b/primrosewood/retrybudgets.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 
 from . import gen_wire as wire
+from .backendstate import Backend
 from .clock import RandomSource
 from .directcalls import DirectCall
 from .entrycount import EntryCount
 from .logs import log_decision
 from .repeatbudget import RepeatBudget, RepeatRule
 from .retryhistory import RetryHistory
+from .unreadsends import UnreadSend
 
 __all__ = ('RetryBudgets',)
 
@@ -79,6 +81,7 @@
             resumes=resumes or None,
             allowed=allowed,
             retries=budget.repeats,
+            held=budget.held or None,
             requests=budget.requests,
             entries=self._entries.shares,
             known=self._entries.known,
@@ -91,6 +94,23 @@
             self._report(budget.make_record(call.service, now))
         return allowed
 
+    def hold(self, call: DirectCall, unread: UnreadSend) -> None:
+        """Count a retry of a call until an unread send of it is settled."""
+        self._budget(call.service).hold(unread)
+        log_decision(
+            'retry_held',
+            request=call.name,
+            service=call.service,
+            endpoint=unread.backend.name,
+            sent_at=unread.sent_at,
+        )
+
+    def settle(self, backend: Backend, sent_at: float, now: float) -> None:
+        """Note that a back end has answered a call sent at a time."""
+        budget = self._budgets.get(backend.record.service)
+        if budget is not None and budget.held:
+            budget.settle(backend, sent_at, now)
+
     def _restore_earlier(self) -> None:
         """Count the retries of the process before once they are known."""
         if self._history is None or not self._history.complete:
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -13,6 +13,8 @@
 from unittest import mock
 
 from primrosewood import gen_wire as wire
+from primrosewood.callprogress import CallProgress
+from primrosewood.callretries import CallRetries
 from primrosewood.entrycount import EntryCount
 from primrosewood.repeatbudget import RepeatRule
 from primrosewood.retrybudgets import RetryBudgets
@@ -287,6 +289,76 @@
             self.retries.append(now + travel)
 
 
+class StoppedBackendsSimulation(RetrySimulation):
+    """Back ends of which a third stop reading, and then refuse calls.
+
+    They read what was sent to them meanwhile as they go on.
+    """
+
+    begin = 14.0
+    seconds = 8.0
+
+    def __init__(self, *arguments):
+        self._backends = [
+            SimpleNamespace(
+                name=f'b{number}',
+                stops=number % 3 == 0,
+                record=SimpleNamespace(service=_SERVICE),
+            )
+            for number in range(9)
+        ]
+        self._given_up = []
+        self._arrivals = []
+        super().__init__(*arguments)
+
+    @property
+    def _end(self):
+        return self.begin + self.seconds
+
+    def run(self):
+        super().run()
+        for arrivals in self._arrivals:
+            self.retries += sorted(arrivals)[1:]
+
+    def _send_requests(self, now):
+        due = [row for row in self._given_up if row[0] <= now]
+        self._given_up = [row for row in self._given_up if row[0] > now]
+        for _at, call, backend, sent_at in due:
+            call.retries.record_unread(call.progress, backend, sent_at)
+            self._retry(call, now)
+        super()._send_requests(now)
+
+    def _send_request(self, entry, now):
+        self.requests.append(now)
+        entry.budgets.record_request(_SERVICE, now)
+        call = SimpleNamespace(
+            retries=CallRetries(entry.budgets, lambda: self._clock.now),
+            progress=CallProgress(
+                SimpleNamespace(name='call', service=_SERVICE)
+            ),
+            arrivals=[],
+        )
+        self._arrivals.append(call.arrivals)
+        self._send(call, now)
+
+    def _retry(self, call, now):
+        if call.progress.retries < _MAX_RETRIES and call.retries.take(
+            call.progress
+        ):
+            self._send(call, now)
+
+    def _send(self, call, now):
+        backend = self._random.choice(self._backends)
+        if backend.stops and self.begin <= now < self._end:
+            call.arrivals.append(self._end + self._random.uniform(0, 0.2))
+            self._given_up.append((now + 1, call, backend, now))
+            return
+        call.arrivals.append(now + self._random.uniform(0, 0.05))
+        call.retries.record_answer(backend, now)
+        if now >= self._end and self._random.random() < _REFUSED_SHARE:
+            self._retry(call, now)
+
+
 def kill_at_onset(everyone, **fields):
     """Return a kill of all, soon after back ends begin to refuse calls."""
     return Disruptions(
@@ -309,10 +381,10 @@
             silenced.start()
             self.addCleanup(silenced.stop)
 
-    def assert_within_limit(self, make_disruptions):
+    def assert_within_limit(self, make_disruptions, kind=RetrySimulation):
         for entries in (5, 26, 330):
             for seed in range(3):
-                simulation = RetrySimulation(
+                simulation = kind(
                     entries, make_disruptions(range(entries)), seed
                 )
                 simulation.run()
@@ -435,6 +507,18 @@
             )
         )
 
+    def test_back_ends_stop_reading(self):
+        """Guards against retries that arrive when a back end goes on."""
+        for seconds in (3.0, 5.0, 8.0):
+            kind = type(
+                'StoppedBackends',
+                (StoppedBackendsSimulation,),
+                {'seconds': seconds},
+            )
+            self.assert_within_limit(
+                lambda _all: Disruptions(request_rate=4, until=36.0), kind
+            )
+
     def test_requests_in_two_peaks(self):
         """Guards against retries for requests of two windows of the limit."""
         self.assert_within_limit(
