Give up a slow call only while a retry is left for it

A look-up whose back end took longer than 0.6 of its objective failed with 502 after that time when the retry limit was used up, although its answer was on its way.

Cause: whether an attempt is given up hung on another back end being there, not on the retry that the next send takes.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -219,6 +219,14 @@
         )
         return chosen
 
+    def may_send_again(self, progress: CallProgress, backend: Backend) -> bool:
+        """Return whether a call may be sent to another back end now."""
+        return (
+            progress.sends < _MAX_SENDS
+            and self.has_alternative(progress, backend)
+            and self._retries.any_left(progress)
+        )
+
     def has_alternative(self, progress: CallProgress, backend: Backend) -> bool:
         """Return whether another back end may get a call now."""
         excluded = progress.failed_backends | {backend.name}
--- a/primrosewood/callretries.py
+++ b/primrosewood/callretries.py
@@ -30,6 +30,10 @@
         self._budgets = budgets
         self._monotonic = monotonic
 
+    def any_left(self, progress: CallProgress) -> bool:
+        """Return whether a retry is left for a call."""
+        return self._budgets.allows(progress.call, self._monotonic())
+
     def take(self, progress: CallProgress, resumes: bool = False) -> bool:
         """Take one retry for a call; return False if none is left.
 
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -158,8 +158,9 @@
     ) -> AbstractAsyncContextManager[None]:
         """Return a timeout for a send that another one may take the place of.
 
-        It waits for another back end: one may register, or come back, only
-        after this one was chosen.
+        It waits for another back end, which may register or come back only
+        after this one was chosen, and for a retry to be left.  Without both,
+        giving up would turn a late answer into a failure.
         """
         route = progress.call.route
         is_last_run = progress.possible_runs + 1 >= route.max_endpoints
@@ -167,7 +168,7 @@
             return nullcontext()
         return ConditionalTimeout(
             route.objective * _ATTEMPT_SHARE,
-            partial(self._placement.has_alternative, progress, backend),
+            partial(self._placement.may_send_again, progress, backend),
         )
 
     async def _fetch_once(
--- a/primrosewood/repeatbudget.py
+++ b/primrosewood/repeatbudget.py
@@ -138,10 +138,10 @@
         self._requests.extendleft(reversed(earlier.requests))
         self._repeats.extendleft(reversed(earlier.retries))
 
-    def spend(
+    def allows(
         self, now: float, resumes: bool = False, past_known: bool = True
     ) -> bool:
-        """Take one retry; return False if this entry's share is used up.
+        """Return whether one more retry fits this entry's share.
 
         Parameters
         ----------
@@ -155,6 +155,13 @@
         allowed = past_known and self._fits_share(now, resumes)
         if not (past_known and self._entries.known):
             allowed = allowed or self._fits_provisional_share(now)
+        return allowed
+
+    def spend(
+        self, now: float, resumes: bool = False, past_known: bool = True
+    ) -> bool:
+        """Take one retry; return False if this entry's share is used up."""
+        allowed = self.allows(now, resumes, past_known)
         if allowed:
             self._repeats.append(now)
         return allowed
--- a/primrosewood/retrybudgets.py
+++ b/primrosewood/retrybudgets.py
@@ -60,6 +60,12 @@
         """Count a caller's request, which earns retries."""
         self._budget(service).record_request(now)
 
+    def allows(self, call: DirectCall, now: float) -> bool:
+        """Return whether a retry is left for a call."""
+        self._restore_earlier()
+        past_known = self._history is None
+        return self._budget(call.service).allows(now, past_known=past_known)
+
     def spend(
         self, call: DirectCall, now: float, resumes: bool = False
     ) -> bool:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -350,6 +350,15 @@
         """
         for name in ('e1', 'e2'):
             self.backends.find(name).leaving = True
+        await self.assert_late_answer()
+
+    async def test_slow_answer_without_a_retry_left(self):
+        """Guards against a late answer that is given up for a failure."""
+        rules = RelayRules('d1', RepeatRule(ratio=0, slack=0, window=10))
+        self.placement.update_rules(rules)
+        await self.assert_late_answer()
+
+    async def assert_late_answer(self):
         reply = ScriptedReply()
 
         async def answer_late():
