Bound what HTTP clients read where no answer, or no end of one, comes

A faulty engine or service that sends empty lines, interim answers, the extension of a chunk or a body without end took a whole processor of an entry until the deadline of the call; a body that is held took its memory.

Cause: the HTTP library reads such bytes for as long as they come, and what it bounds (lines, headers, trailers) leaves these out. Bodies of back ends, of the engine's report, of the key-value service and of the VM list were read whole, whatever their size.

Now a connection is closed when 256 KB and sixteen bytes for each one of content have come that are no content; an answer that is held takes part in a memory that all of them share; a stream is bounded by the tokens that its caller allows. The reason is OversizedAnswerError, and in event=send_failed.

Chunks of one byte, the largest framing that is an answer, are still read whole.

--- a/primrosewood/backends.py
+++ b/primrosewood/backends.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .backpressure import AnswerNotice, Backpressure
+from .boundedanswers import make_connector, read_limited
 from .clock import SystemClock
 from .errors import (
     BackendCutError,
@@ -37,6 +38,8 @@
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
 _CONTROL_TIMEOUT_SECONDS = 1.0
+_MAX_LOAD_BYTES = 1_048_576
+_MAX_ANSWER_BYTES = 33_554_432
 _ID_PREFIX = b'id: '
 _DATA_PREFIX = b'data: '
 _DONE_EVENT = b'data: [DONE]\n\n'
@@ -169,7 +172,7 @@
                 # is written to it; the outcome of the call would be unknown
                 # although it never ran. The endpoint runs next to its back
                 # end, so a new connection per call costs little.
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                connector=make_connector(limit=0, force_close=True),
                 middlewares=(prevent_resend,),
                 timeout=aiohttp.ClientTimeout(
                     total=None, sock_connect=_CONNECT_TIMEOUT_SECONDS
@@ -265,7 +268,8 @@
             ) as response:
                 self._heed(response)
                 return msgspec.json.decode(
-                    await response.read(), type=EngineLoad
+                    await read_limited(response, _MAX_LOAD_BYTES),
+                    type=EngineLoad,
                 )
         except (
             aiohttp.ClientError,
@@ -324,7 +328,7 @@
                 return CallResult(
                     response.status,
                     response.headers.get('Content-Type', ''),
-                    await response.read(),
+                    await read_limited(response, _MAX_ANSWER_BYTES),
                 )
         except aiohttp.ClientConnectorError as error:
             raise NotRunError(ErrorKind.no_endpoint, retry_seconds=1) from error
--- /dev/null
+++ b/primrosewood/boundedanswers.py
@@ -0,0 +1,113 @@
+"""Bounds on the bytes that an HTTP client takes for one answer.
+
+A faulty server may send bytes without end that are no answer: empty lines,
+interim answers, extensions of chunks, or a body.  The library reads them for as
+long as they come, at the cost of a whole processor.
+"""
+
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from .errors import OversizedAnswerError
+
+__all__ = ('BoundedResponseHandler', 'make_connector', 'read_limited')
+
+# Heads of answers and the framing of short chunks take less.
+_MAX_OVERHEAD_BYTES = 262_144
+_MAX_OVERHEAD_PER_BYTE = 16
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Closes a connection whose bytes bring no answer forward.
+
+    Attributes
+    ----------
+    oversized
+        Why it was closed, None unless it was closed for that.
+    """
+
+    def __init__(self, loop: Any) -> None:
+        """Start before the first answer."""
+        super().__init__(loop=loop)
+        self._received_bytes = 0
+        self.oversized: OversizedAnswerError | None = None
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the next answer."""
+        self._received_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; close if too many of them are no content."""
+        super().data_received(data)
+        self._received_bytes += len(data)
+        # There is none before the head is complete.
+        content_bytes = getattr(self._payload, 'total_bytes', 0)
+        overhead = self._received_bytes - content_bytes
+        allowed = _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_PER_BYTE * content_bytes
+        if overhead > allowed and self.transport is not None:
+            self._close_oversized(overhead)
+
+    def set_exception(
+        self, exc: BaseException, *exc_cause: BaseException
+    ) -> None:
+        """Report a fault; that the answer is oversized remains the reason."""
+        super().set_exception(self.oversized or exc, *exc_cause)
+
+    def _close_oversized(self, overhead: int) -> None:
+        self.oversized = OversizedAnswerError(
+            f'{overhead} bytes that are no content'
+        )
+        content, self._payload = self._payload, None
+        self.set_exception(self.oversized)
+        if content is not None:
+            content.set_exception(self.oversized)
+        self._parser = None
+        self.transport.abort()
+
+
+def make_connector(
+    handler: type[BoundedResponseHandler] = BoundedResponseHandler,
+    **options: Any,
+) -> aiohttp.TCPConnector:
+    """Return a connector whose connections bound what they read.
+
+    Parameters
+    ----------
+    handler
+        Class of the connections' handlers.
+    **options
+        Options of the connector.
+    """
+    connector = aiohttp.TCPConnector(**options)
+    connector._factory = functools.partial(  # noqa: SLF001, WPS437
+        handler,
+        loop=connector._loop,  # noqa: SLF001, WPS437
+    )
+    return connector
+
+
+async def read_limited(response: aiohttp.ClientResponse, limit: int) -> bytes:
+    """Return the body of a response.
+
+    Parameters
+    ----------
+    limit
+        Greatest number of bytes.
+
+    Raises
+    ------
+    OversizedAnswerError
+        The body is longer.
+    """
+    parts = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > limit:
+            raise OversizedAnswerError(f'a body of over {limit} bytes')
+        parts.append(part)
+    return b''.join(parts)
--- a/primrosewood/callretries.py
+++ b/primrosewood/callretries.py
@@ -1,4 +1,4 @@
-"""Retries of single calls, each of which is taken from the budget of a service."""
+"""Retries of single calls, taken from the budget of their service."""
 
 from collections.abc import Callable
 
--- a/primrosewood/errors.py
+++ b/primrosewood/errors.py
@@ -16,6 +16,7 @@
     'HistoryLostError',
     'MisdirectedError',
     'NotRunError',
+    'OversizedAnswerError',
     'PrimrosewoodError',
     'Ran',
     'RequestFailedError',
@@ -248,6 +249,10 @@
     """A connection broke after a call was written, or a response is invalid."""
 
 
+class OversizedAnswerError(BackendCutError):
+    """An answer, or bytes in its place, exceeded what its reader takes."""
+
+
 class StoreUnavailableError(PrimrosewoodError):
     """The key-value service did not respond, or responded with an error.
 
--- a/primrosewood/etcd.py
+++ b/primrosewood/etcd.py
@@ -8,12 +8,14 @@
 import aiohttp
 import msgspec
 
-from .errors import StoreUnavailableError
+from .boundedanswers import make_connector, read_limited
+from .errors import BackendCutError, StoreUnavailableError
 from .kv import Change, KeyValue, Listing, Pair, SwapResult
 
 __all__ = ('EtcdKeyValue', 'decode_base64', 'encode_base64', 'prefix_range_end')
 
 _MAX_WATCH_LINE_BYTES = 8_388_608
+_MAX_RESPONSE_BYTES = 67_108_864
 
 
 def encode_base64(text: str | bytes) -> str:
@@ -133,7 +135,7 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._cached_session is None:
             self._cached_session = aiohttp.ClientSession(
-                read_bufsize=_MAX_WATCH_LINE_BYTES
+                connector=make_connector(), read_bufsize=_MAX_WATCH_LINE_BYTES
             )
         return self._cached_session
 
@@ -142,7 +144,7 @@
             async with self._session().post(
                 f'{self._url}/v3/{path}', json=query, timeout=self._timeout
             ) as response:
-                body = await response.read()
+                body = await read_limited(response, _MAX_RESPONSE_BYTES)
                 if response.status != aiohttp.http.HTTPStatus.OK:
                     raise StoreUnavailableError(f'status {response.status}')
                 return msgspec.json.decode(body)
@@ -151,6 +153,7 @@
 
 
 _TRANSPORT_ERRORS = (
+    BackendCutError,
     aiohttp.ClientError,
     asyncio.TimeoutError,
     OSError,
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -1,7 +1,6 @@
 """HTTP clients for calls to back ends and for the engine on the same VM."""
 
 import asyncio
-import functools
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -9,12 +8,16 @@
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
 from ..backendstate import Backend, EngineState
 from ..backpressure import AnswerNotice, Backpressure
+from ..boundedanswers import (
+    BoundedResponseHandler,
+    make_connector,
+    read_limited,
+)
 from ..clock import Clock
 from ..directcalls import BackendAttempt, DirectCall, Header
 from ..errors import (
@@ -41,6 +44,7 @@
 _REPORT_TIMEOUT_SECONDS = 0.5
 _MOVE_TIMEOUT_SECONDS = 2.0
 _MAX_HEADER_LINE_BYTES = 65536
+_MAX_REPORT_BYTES = 4_194_304
 # Statuses that usually mean the call did not run.  It may have run all the same
 # unless the response also has the ``NOT_EXECUTED`` header.
 _NOT_EXECUTED_STATUSES = frozenset(
@@ -55,7 +59,7 @@
 _LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 
 
-class _ResponseHandler(ResponseHandler):
+class _ResponseHandler(BoundedResponseHandler):
     """Reports faults of a connection to whoever reads a response from it.
 
     aiohttp takes the end of the connection for the end of a response without
@@ -82,7 +86,8 @@
         # Bytes after a whole response belong to no call.
         if self._content is not None and not self._content.is_eof():
             self._content.set_exception(
-                aiohttp.ClientPayloadError('malformed response')
+                self.oversized
+                or aiohttp.ClientPayloadError('malformed response')
             )
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -95,10 +100,7 @@
     # No keep-alive: the back end may close an idle connection just as a call is
     # written to it, or the connection may deliver a late response to an earlier
     # call.  A new connection costs a millisecond.
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    connector._factory = functools.partial(  # noqa: SLF001, WPS437
-        _ResponseHandler, loop=asyncio.get_running_loop()
-    )
+    connector = make_connector(_ResponseHandler, limit=0, force_close=True)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -438,7 +440,9 @@
         self, method: str, path: str, seconds: float, payload: object = None
     ) -> _EngineResponse:
         if self._lazy_session is None:
-            self._lazy_session = aiohttp.ClientSession()
+            self._lazy_session = aiohttp.ClientSession(
+                connector=make_connector()
+            )
         self._backpressure.require_no_pause(self._clock.monotonic())
         try:
             async with asyncio.timeout(seconds):
@@ -456,7 +460,7 @@
         self._backpressure.heed(self._address, notice, self._clock.monotonic())
         return _EngineResponse(
             response.status,
-            await response.read(),
+            await read_limited(response, _MAX_REPORT_BYTES),
             response.headers.get(headers.BACKEND, ''),
             notice,
         )
--- a/primrosewood/platform/store.py
+++ b/primrosewood/platform/store.py
@@ -10,11 +10,13 @@
 import aiohttp
 import msgspec
 
+from ..boundedanswers import make_connector
 from ..crashguard import StoredCrashes
 from ..entrycount import StoredEntryCount
 from ..errors import (
     BackendCutError,
     HistoryLostError,
+    OversizedAnswerError,
     StoreUnavailableError,
 )
 from ..httpclient import prevent_resend
@@ -42,6 +44,7 @@
 # may be silent: a page of 1 MB takes 1.1 s on a link of 10 Mbit/s, which is
 # shared with callers' traffic.
 _MAX_RESPONSE_FACTOR = 5
+_MAX_RESPONSE_BYTES = 33_554_432
 
 _CONNECTION_ERRORS = (
     BackendCutError,
@@ -270,6 +273,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._lazy_session is None:
             self._lazy_session = aiohttp.ClientSession(
+                connector=make_connector(),
                 timeout=aiohttp.ClientTimeout(total=None),
                 middlewares=(prevent_resend,),
             )
@@ -287,7 +291,11 @@
     service may be silent.
     """
     parts = []
+    size = 0
     async for part in response.content.iter_any():
+        size += len(part)
+        if size > _MAX_RESPONSE_BYTES:
+            raise OversizedAnswerError(f'over {_MAX_RESPONSE_BYTES} bytes')
         parts.append(part)
         silence_timer.reschedule(
             asyncio.get_running_loop().time() + silence_seconds
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -1,9 +1,10 @@
 """Forwarding of direct calls at an entry, from arrival to complete answer."""
 
 from contextlib import AbstractAsyncContextManager, nullcontext
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
+from .answermemory import AnswerMemory, HeldAnswer, require_stream_size
 from .backendstate import Backend
 from .balancing import Reservation
 from .callplacement import CallPlacement
@@ -58,13 +59,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayDependencies:
-    """Collaborators of `Relay`."""
+    """Collaborators of `Relay`.
+
+    Attributes
+    ----------
+    answers
+        Memory for the answers that are held until they are whole.
+    """
 
     placement: CallPlacement
     notices: MoveNotices
     transport: Transport
     clock: Clock
     metrics: Metrics
+    answers: AnswerMemory = field(default_factory=AnswerMemory)
 
 
 class Relay:
@@ -127,20 +135,27 @@
     async def _answer_buffered(
         self, progress: CallProgress, sink: AnswerSink
     ) -> None:
+        with self._deps.answers.open() as held:
+            head, body = await self._fetch_from_any(progress, held)
+            await sink.begin(head)
+            await sink.write(body)
+
+    async def _fetch_from_any(
+        self, progress: CallProgress, held: HeldAnswer
+    ) -> tuple[AnswerHead, bytes]:
+        """Return a complete answer of one of the back ends."""
         while True:
             backend = self._placement.choose(progress)
             try:
-                head, body = await self._fetch(progress, backend)
+                head, body = await self._fetch(progress, backend, held)
             except (NotRunError, BackendCutError) as error:
                 self._placement.handle_failed_send(progress, backend, error)
                 continue
             self._record_answer(progress, backend, head.status)
-            await sink.begin(head)
-            await sink.write(body)
-            return
+            return head, body
 
     async def _fetch(
-        self, progress: CallProgress, backend: Backend
+        self, progress: CallProgress, backend: Backend, held: HeldAnswer
     ) -> tuple[AnswerHead, bytes]:
         """Return a complete answer, without writing any of it before.
 
@@ -149,7 +164,7 @@
         """
         try:
             async with self._limit_attempt(progress, backend):
-                return await self._fetch_once(progress, backend)
+                return await self._fetch_once(progress, backend, held)
         except TimeoutError as error:
             raise BackendCutError('no answer in time') from error
 
@@ -172,14 +187,14 @@
         )
 
     async def _fetch_once(
-        self, progress: CallProgress, backend: Backend
+        self, progress: CallProgress, backend: Backend, held: HeldAnswer
     ) -> tuple[AnswerHead, bytes]:
         backend_attempt = BackendAttempt(backend)
         with self._placement.reserve(progress, backend_attempt) as reservation:
             async with self._deps.transport.send(
                 progress.call, backend_attempt
             ) as reply:
-                head, body = await _read_body(reply)
+                head, body = await held.read(reply)
                 reservation.answer_bytes = len(body)
                 return head, body
 
@@ -250,6 +265,7 @@
         splitter = EventSplitter()
         async for part in reply.parts():
             reservation.answer_bytes += len(part)
+            require_stream_size(progress.call, reservation.answer_bytes)
             events = splitter.feed(part)
             new_events = b''.join(filter(progress.order.accept, events))
             if not new_events:
@@ -275,9 +291,10 @@
             if progress.call.route.resumable:
                 raise BackendCutError(f'status {reply.status}')
             raise NotRunError(ErrorKind.generation_lost, str(reply.status))
-        head, body = await _read_body(reply)
-        await sink.begin(head)
-        await sink.write(body)
+        with self._deps.answers.open() as held:
+            head, body = await held.read(reply)
+            await sink.begin(head)
+            await sink.write(body)
 
     def _record_survival(self, progress: CallProgress) -> None:
         if not progress.survived:
@@ -421,8 +438,3 @@
 def _exceeds(seconds: float, bound: float) -> bool:
     """Return whether a time exceeds a bound, where 0 means no bound."""
     return bool(bound) and seconds > bound
-
-
-async def _read_body(reply: BackendReply) -> tuple[AnswerHead, bytes]:
-    body = b''.join([part async for part in reply.parts()])
-    return AnswerHead(reply.status, reply.headers, len(body)), body
--- a/primrosewood/vmlist.py
+++ b/primrosewood/vmlist.py
@@ -6,12 +6,22 @@
 import aiohttp
 import msgspec
 
+from .boundedanswers import make_connector, read_limited
+from .errors import BackendCutError
 from .logs import log_event
 from .membership import VmState
 
 __all__ = ('VmListPoller', 'parse_vm_list')
 
 _TIMEOUT_SECONDS = 1.0
+_MAX_LIST_BYTES = 4_194_304
+_READ_ERRORS = (
+    BackendCutError,
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    msgspec.DecodeError,
+)
 
 
 class _Vm(msgspec.Struct):
@@ -65,7 +75,9 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            connector=make_connector(), timeout=timeout
+        ) as session:
             while True:
                 await self._read(session)
                 await asyncio.sleep(self._poll_seconds)
@@ -74,11 +86,7 @@
         try:
             async with session.get(self._url) as response:
                 response.raise_for_status()
-                self._on_list(parse_vm_list(await response.read()))
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            msgspec.DecodeError,
-        ) as error:
+                body = await read_limited(response, _MAX_LIST_BYTES)
+                self._on_list(parse_vm_list(body))
+        except _READ_ERRORS as error:
             log_event('vm_list_unreadable', 'WARNING', why=type(error).__name__)
