Use a tenth of the retry limit while nobody keeps what is used

Entries that were killed right after all processes beside engines had stood still for some seconds spent a whole share again.

A process beside an engine answers a new entry with the last report that it has heard, and says for how long it has known that entry, also if it heard nothing of the last seconds: it was stopped, or the link was given up.

Not seen with real processes; not played there either.

Which reports are missing cannot be told by who kept them, nor by the next process. The entry itself hears that all are silent, and then spends as if its past were unknown. Where no such process was ever heard nothing changes: the next process waits for a window there. The pattern is within the limit now.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -118,6 +118,9 @@
         there was none.
     report_retries
         Reports the retries of a service to be kept for the next process.
+    keeps_retries
+        Returns whether any process is there to keep them; None if nobody has
+        to.
     """
 
     rules: RelayRules
@@ -136,6 +139,7 @@
     guard: CrashGuard | None = None
     history: RetryHistory | None = None
     report_retries: Callable[[wire.RetryRecord], None] = _report_nothing
+    keeps_retries: Callable[[], bool] | None = None
 
 
 class CallPlacement:
@@ -164,6 +168,7 @@
             dependencies.random,
             dependencies.history,
             dependencies.report_retries,
+            dependencies.keeps_retries,
         )
         self._retries = CallRetries(self._budgets, dependencies.clock.monotonic)
         self._prompt_rates: dict[str, PromptRateEstimator] = {}
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -93,6 +93,7 @@
         self._link_port = link_port
         self._links: dict[str, PeerLink] = {}
         self._reported_entries: dict[str, int] = {}
+        self._any_reported = False
         self._copies: dict[str, _ReportedCopy] = {}
         # Start of the engine beside each process, once it was reported.
         self._boots: dict[str, int] = {}
@@ -203,6 +204,16 @@
         """Send retries to a few processes, which keep them for the next one."""
         self._send_to_some(report, _RETRY_COPIES)
 
+    def keeps_retries(self) -> bool:
+        """Return whether retries reported now would be kept.
+
+        Where no process beside an engine was ever heard, nobody tells the next
+        process of any retry, and that one waits until they do not count.
+        """
+        links = self._links.values()
+        nobody_to_tell = not links or not self._any_reported
+        return nobody_to_tell or not all(map(_is_silent, links))
+
     def announce_call(
         self, backend: Backend, name: str, unread_tokens: int, whole_tokens: int
     ) -> None:
@@ -347,6 +358,7 @@
         # removed before its generations are moved.
         self._copies[address] = _ReportedCopy(report.copying_to, now)
         self._reported_entries[address] = report.entries
+        self._any_reported = True
         self._entries.update(max(self._reported_entries.values()), now)
         backend = self._find_reported(address, report.boot)
         if backend is None:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -214,6 +214,7 @@
                 guard=self._guard,
                 history=self._history,
                 report_retries=self._report_retries,
+                keeps_retries=self._engines.keeps_retries,
             )
         )
         dependencies = RelayDependencies(
--- a/primrosewood/repeatbudget.py
+++ b/primrosewood/repeatbudget.py
@@ -26,7 +26,7 @@
 # The same for moved streams that are resumed, which are lost otherwise.
 _RESUMPTION_SHARE = 0.9
 # The same while it is not known what the process before has used, or how many
-# entries there are.
+# entries there are, or while nobody keeps what this one uses.
 _PROVISIONAL_SHARE = 0.1
 # Part of its share of the limit for any single window that an entry uses.
 _WINDOW_SHARE = 0.95
@@ -139,7 +139,7 @@
         self._repeats.extendleft(reversed(earlier.retries))
 
     def allows(
-        self, now: float, resumes: bool = False, past_known: bool = True
+        self, now: float, resumes: bool = False, whole: bool = True
     ) -> bool:
         """Return whether one more retry fits this entry's share.
 
@@ -148,20 +148,22 @@
         resumes
             Whether a moved stream is resumed, for which part of the share is
             kept back.
-        past_known
-            Whether the retries of the process that ran here before are counted.
+        whole
+            Whether the whole share may be used: the retries of the process that
+            ran here before are counted, and those made now would be known to
+            the next one.
         """
         self._drop_expired(now)
-        allowed = past_known and self._fits_share(now, resumes)
-        if not (past_known and self._entries.known):
+        allowed = whole and self._fits_share(now, resumes)
+        if not (whole and self._entries.known):
             allowed = allowed or self._fits_provisional_share(now)
         return allowed
 
     def spend(
-        self, now: float, resumes: bool = False, past_known: bool = True
+        self, now: float, resumes: bool = False, whole: bool = True
     ) -> bool:
         """Take one retry; return False if this entry's share is used up."""
-        allowed = self.allows(now, resumes, past_known)
+        allowed = self.allows(now, resumes, whole)
         if allowed:
             self._repeats.append(now)
         return allowed
--- a/primrosewood/retrybudgets.py
+++ b/primrosewood/retrybudgets.py
@@ -26,6 +26,7 @@
         random: RandomSource,
         history: RetryHistory | None,
         report: Callable[[wire.RetryRecord], None],
+        is_kept: Callable[[], bool] | None = None,
     ) -> None:
         """Start without requests and retries.
 
@@ -41,6 +42,9 @@
         report
             Reports the retries of a service to processes that keep them for
             the next process.
+        is_kept
+            Returns whether any of them is there to keep what is reported now;
+            None if nobody has to.
         """
         self._rule = rule
         self._entries = entries
@@ -48,6 +52,7 @@
         self._random = random
         self._history = history
         self._report = report
+        self._is_kept = is_kept
         self._budgets: dict[str, RepeatBudget] = {}
 
     def update_rule(self, rule: RepeatRule) -> None:
@@ -63,8 +68,8 @@
     def allows(self, call: DirectCall, now: float) -> bool:
         """Return whether a retry is left for a call."""
         self._restore_earlier()
-        past_known = self._history is None
-        return self._budget(call.service).allows(now, past_known=past_known)
+        whole = self._history is None and self._may_rely_on_reports()
+        return self._budget(call.service).allows(now, whole=whole)
 
     def spend(
         self, call: DirectCall, now: float, resumes: bool = False
@@ -78,8 +83,9 @@
         """
         self._restore_earlier()
         past_known = self._history is None
+        kept = self._may_rely_on_reports()
         budget = self._budget(call.service)
-        allowed = budget.spend(now, resumes, past_known)
+        allowed = budget.spend(now, resumes, past_known and kept)
         log_decision(
             'retry_decided',
             request=call.name,
@@ -93,6 +99,7 @@
             known=self._entries.known,
             up=now - self._started_at,
             past_known=past_known,
+            kept=kept,
         )
         # Without the retries of the process before, a report would replace a
         # more complete one.
@@ -117,6 +124,9 @@
         if budget is not None and budget.held:
             budget.settle(backend, sent_at, now)
 
+    def _may_rely_on_reports(self) -> bool:
+        return self._is_kept is None or self._is_kept()
+
     def _restore_earlier(self) -> None:
         """Count the retries of the process before once they are known."""
         if self._history is None or not self._history.complete:
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -81,6 +81,34 @@
         self.view.update()
 
 
+class KeptRetriesTest(_EngineViewCase):
+    """Whether a process beside an engine keeps retries reported now."""
+
+    def silence(self, links):
+        for link in links:
+            link.silence = 9.0
+
+    def report(self):
+        link = self.connector.links[0]
+        link.receive(wire.EngineReport(0, 0, 0, 9000, boot=_BOOT), link)
+
+    def test_some_are_silent(self):
+        self.report()
+        self.silence(self.connector.links[1:])
+        self.assertTrue(self.view.keeps_retries())
+
+    def test_all_are_silent(self):
+        """Guards against retries of which the next process hears nothing."""
+        self.report()
+        self.silence(self.connector.links)
+        self.assertFalse(self.view.keeps_retries())
+
+    def test_none_was_ever_heard(self):
+        """Guards against a tenth of a share for good without such processes."""
+        self.silence(self.connector.links)
+        self.assertTrue(self.view.keeps_retries())
+
+
 class AnnouncedEngineTest(_EngineViewCase):
     """What an entry sends when a new engine announces itself there."""
 
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -48,8 +48,9 @@
 class SimulatedEntry:
     """An entry that keeps its share of the limit in memory."""
 
-    def __init__(self, number, clock, tell, random_source):
+    def __init__(self, number, clock, tell, random_source, is_kept):
         self.number = number
+        self._is_kept = is_kept
         self.generation = 0
         self.alive_from = 0.0
         self.link_delay = 0.0
@@ -80,6 +81,7 @@
             self._random,
             self.history,
             lambda record: self._tell(self, record),
+            self._is_kept,
         )
 
     def is_alive(self, now):
@@ -122,6 +124,8 @@
         When all processes beside engines are restarted.
     start_gap
         Seconds from the start of one entry to the next.
+    archives_silent
+        From and until when processes beside engines are stopped.
     """
 
     kills: dict = field(default_factory=dict)
@@ -135,6 +139,7 @@
     store_forgets: bool = False
     archives_lost_at: float = _RUN_SECONDS
     start_gap: float = 0.0
+    archives_silent: tuple = (_RUN_SECONDS, _RUN_SECONDS)
     until: float = _RUN_SECONDS
 
     def side(self, number, now):
@@ -155,12 +160,18 @@
         self._random = random.Random(seed)
         self._clock = ManualClock()
         self._clock.now = 0.0
+        self._disruptions = disruptions
         self._archives = self._make_archives()
         self._entries = [
-            SimulatedEntry(number, self._clock, self._tell, self._random)
+            SimulatedEntry(
+                number,
+                self._clock,
+                self._tell,
+                self._random,
+                lambda: not self._are_archives_silent(),
+            )
             for number in range(entries)
         ]
-        self._disruptions = disruptions
         self._start_in_turn()
         self._kills = sorted(
             (at, number)
@@ -219,6 +230,10 @@
     def _make_archives(self):
         return [RetryArchive(self._clock) for _ in range(_ARCHIVES)]
 
+    def _are_archives_silent(self):
+        begin, end = self._disruptions.archives_silent
+        return begin <= self._clock.now < end
+
     def _reachable_archives(self, entry):
         side = self._disruptions.side(entry.number, self._clock.now)
         return [
@@ -228,7 +243,7 @@
         ]
 
     def _tell(self, entry, record):
-        if not entry.linked:
+        if not entry.linked or self._are_archives_silent():
             return
         reachable = self._reachable_archives(entry)
         for archive in self._random.sample(reachable, _COPIES):
@@ -244,12 +259,16 @@
             )
 
     def _open_links(self, now):
+        if self._are_archives_silent():
+            return
         for entry in self._entries:
             if entry.connects(now):
                 entry.open_links(self._reachable_archives(entry))
 
     def _report(self, now):
         """Engines tell the entries connected to them how many these are."""
+        if self._are_archives_silent():
+            return
         sides = {False: [], True: []}
         for entry in self._entries:
             if entry.linked and entry.is_alive(now):
@@ -519,6 +538,19 @@
                 lambda _all: Disruptions(request_rate=4, until=36.0), kind
             )
 
+    def test_entries_killed_while_nobody_keeps_their_retries(self):
+        """Guards against retries that no process beside an engine heard of."""
+        for seconds in (3.0, 6.0, 9.0):
+            self.assert_within_limit(
+                lambda everyone, seconds=seconds: Disruptions(
+                    {14.0 + seconds: everyone},
+                    refused_from=14.0,
+                    archives_silent=(14.0, 15.0 + seconds),
+                    request_rate=_BUSY_REQUESTS_PER_SECOND_AND_ENTRY,
+                    until=_BUSY_RUN_SECONDS,
+                )
+            )
+
     def test_requests_in_two_peaks(self):
         """Guards against retries for requests of two windows of the limit."""
         self.assert_within_limit(
