--- a/tests/processes/retrylimit/__main__.py
+++ b/tests/processes/retrylimit/__main__.py
@@ -26,7 +26,8 @@
     folder
         Where logs and arrivals are kept, in a folder for each seed.
     kind
-        What is drawn from the seed: ``mixed``, ``starts``, ``kills``, ``stops``.
+        What is drawn from the seed: ``mixed``, ``starts``, ``kills``,
+        ``stops`` or ``silences``.
     network
         Second octet of the addresses, another one for each run side by side.
     """
--- a/tests/processes/retrylimit/scenario.py
+++ b/tests/processes/retrylimit/scenario.py
@@ -240,6 +240,23 @@
     )
 
 
+def draw_silences(seed, size):
+    """Return kills of all entries while all processes beside engines stop."""
+    random = Random(seed)
+    everyone = tuple(range(sum(size.entries)))
+    begin, seconds = random.uniform(13, 16), random.uniform(5, 9)
+    return Scenario(
+        seed,
+        (0.1,) * (len(everyone) - 1),
+        says_first_again=False,
+        faults=_refuse_both(begin, 36),
+        stops=[
+            Stop('endpoints', tuple(range(sum(size.engines))), begin, seconds)
+        ],
+        kills=[Kill('entries', everyone, begin + seconds - 1)],
+    )
+
+
 def _refuse_both(begin, end):
     return [Fault('refuse', name, begin, end) for name in ('desk', 'model')]
 
@@ -249,6 +266,7 @@
     'starts': draw_starts,
     'kills': draw_kills,
     'stops': draw_stops,
+    'silences': draw_silences,
 }
 
 
