--- a/primrosewood/repeatbudget.py
+++ b/primrosewood/repeatbudget.py
@@ -139,7 +139,7 @@
         self._repeats.extendleft(reversed(earlier.retries))
 
     def allows(
-        self, now: float, resumes: bool = False, whole: bool = True
+        self, now: float, resumes: bool = False, whole_share: bool = True
     ) -> bool:
         """Return whether one more retry fits this entry's share.
 
@@ -148,22 +148,22 @@
         resumes
             Whether a moved stream is resumed, for which part of the share is
             kept back.
-        whole
+        whole_share
             Whether the whole share may be used: the retries of the process that
             ran here before are counted, and those made now would be known to
             the next one.
         """
         self._drop_expired(now)
-        allowed = whole and self._fits_share(now, resumes)
-        if not (whole and self._entries.known):
+        allowed = whole_share and self._fits_share(now, resumes)
+        if not (whole_share and self._entries.known):
             allowed = allowed or self._fits_provisional_share(now)
         return allowed
 
     def spend(
-        self, now: float, resumes: bool = False, whole: bool = True
+        self, now: float, resumes: bool = False, whole_share: bool = True
     ) -> bool:
         """Take one retry; return False if this entry's share is used up."""
-        allowed = self.allows(now, resumes, whole)
+        allowed = self.allows(now, resumes, whole_share)
         if allowed:
             self._repeats.append(now)
         return allowed
--- a/primrosewood/retrybudgets.py
+++ b/primrosewood/retrybudgets.py
@@ -68,8 +68,8 @@
     def allows(self, call: DirectCall, now: float) -> bool:
         """Return whether a retry is left for a call."""
         self._restore_earlier()
-        whole = self._history is None and self._may_rely_on_reports()
-        return self._budget(call.service).allows(now, whole=whole)
+        whole_share = self._history is None and self._may_rely_on_reports()
+        return self._budget(call.service).allows(now, whole_share=whole_share)
 
     def spend(
         self, call: DirectCall, now: float, resumes: bool = False
--- a/tests/processes/retrylimit/__main__.py
+++ b/tests/processes/retrylimit/__main__.py
@@ -11,7 +11,8 @@
 import fire
 
 from .fleet import HW_VLOOT
-from .scenario import DRAWS, ScenarioRun
+from .run import ScenarioRun
+from .scenario import DRAWS
 
 _FIRST_NETWORK = 30
 
--- a/tests/processes/test_platform_retry_limit.py
+++ b/tests/processes/test_platform_retry_limit.py
@@ -21,7 +21,8 @@
     find_repeated,
 )
 from .retrylimit.fleet import HW_VLOOT, render
-from .retrylimit.scenario import DRAWS, ScenarioRun
+from .retrylimit.run import ScenarioRun
+from .retrylimit.scenario import DRAWS
 
 _LIMIT = RetryLimit(ratio=0.2, slack=2, window=10)
 _NETWORK = 20
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -65,9 +65,9 @@
         budget = RepeatBudget(RULE, EntryCount(1), started_at=100.0)
         for _ in range(10):
             budget.record_request(100.0)
-        self.assertFalse(budget.spend(100.1, whole=False))
+        self.assertFalse(budget.spend(100.1, whole_share=False))
         sent = 0
-        while budget.spend(109.9, whole=False):
+        while budget.spend(109.9, whole_share=False):
             sent += 1
         # A tenth of the slack of 50 and of two for ten requests.
         self.assertEqual(5, sent)
@@ -86,9 +86,9 @@
         entries = EntryCount.assume(8)
         entries.update(2, 1.0)
         budget = RepeatBudget(RULE, entries, started_at=0.0)
-        self.assertFalse(budget.spend(2.0, whole=False))
-        self.assertTrue(budget.spend(4.5, whole=False))
-        self.assertFalse(budget.spend(4.5, whole=False))
+        self.assertFalse(budget.spend(2.0, whole_share=False))
+        self.assertTrue(budget.spend(4.5, whole_share=False))
+        self.assertFalse(budget.spend(4.5, whole_share=False))
 
     def test_stored_number_is_away_for_long(self):
         """Guards against a whole share of a number that only was reported."""
