Let the next process hold the retries whose sends may still be read

Entries that were killed while back ends stood still spent a whole share again beside what those back ends read as they went on.

Cause: the mend of late arrivals kept them in the memory of the process. Its reports counted them like others, from their decision on, so that the next process took them back before they had arrived.

A report has the number of held retries at its end, 0 if an older build sent it, and is sent again as a retry is held. The next process holds them without a back end, so for 10 s from the report at most, and counts a window from then.

--- a/primrosewood/callretries.py
+++ b/primrosewood/callretries.py
@@ -63,5 +63,5 @@
         """Hold a retry for each unread send, as long as there are both."""
         while progress.held < min(progress.retries, len(progress.unread)):
             unread = progress.unread[progress.held]
-            self._budgets.hold(progress.call, unread)
+            self._budgets.hold(progress.call, unread, self._monotonic())
             progress.held += 1
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -778,6 +778,19 @@
     """
     Retries in each interval, the latest one first.
     """
+    held: (
+        Annotated[
+            int,
+            Meta(
+                description='Further retries, which count until an earlier send of their call is settled.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Further retries, which count until an earlier send of their call is settled.
+    """
 
 
 class RetryReport(Struct, array_like=True):
--- a/primrosewood/repeatbudget.py
+++ b/primrosewood/repeatbudget.py
@@ -137,6 +137,8 @@
         """Count what the process that ran here before has used."""
         self._requests.extendleft(reversed(earlier.requests))
         self._repeats.extendleft(reversed(earlier.retries))
+        for _ in range(earlier.held):
+            self._held.add(UnreadSend(None, earlier.counted_at))
 
     def allows(
         self, now: float, resumes: bool = False, whole_share: bool = True
@@ -184,14 +186,13 @@
 
     def make_record(self, service: str, now: float) -> wire.RetryRecord:
         """Return the requests and retries that count for the next process."""
-        retries = self._count_repeats(now)
-        retries[0] += len(self._held)
         return wire.RetryRecord(
             service=service,
             age_ms=0,
             interval_ms=self.rule.interval_ms,
             requests=self._count_requests(now),
-            retries=retries,
+            retries=self._count_repeats(now),
+            held=self.held,
         )
 
     def _fits_share(self, now: float, resumes: bool) -> bool:
--- a/primrosewood/retrybudgets.py
+++ b/primrosewood/retrybudgets.py
@@ -101,22 +101,22 @@
             past_known=past_known,
             kept=kept,
         )
-        # Without the retries of the process before, a report would replace a
-        # more complete one.
-        if allowed and past_known:
-            self._report(budget.make_record(call.service, now))
+        if allowed:
+            self._report_if_complete(budget, call.service, now)
         return allowed
 
-    def hold(self, call: DirectCall, unread: UnreadSend) -> None:
+    def hold(self, call: DirectCall, unread: UnreadSend, now: float) -> None:
         """Count a retry of a call until an unread send of it is settled."""
-        self._budget(call.service).hold(unread)
+        budget = self._budget(call.service)
+        budget.hold(unread)
         log_decision(
             'retry_held',
             request=call.name,
             service=call.service,
             endpoint=unread.backend.name,
-            sent_at=unread.sent_at,
+            age=now - unread.sent_at,
         )
+        self._report_if_complete(budget, call.service, now)
 
     def settle(self, backend: Backend, sent_at: float, now: float) -> None:
         """Note that a back end has answered a call sent at a time."""
@@ -124,6 +124,14 @@
         if budget is not None and budget.held:
             budget.settle(backend, sent_at, now)
 
+    def _report_if_complete(
+        self, budget: RepeatBudget, service: str, now: float
+    ) -> None:
+        # Without the retries of the process before, a report would replace a
+        # more complete one.
+        if self._history is None:
+            self._report(budget.make_record(service, now))
+
     def _may_rely_on_reports(self) -> bool:
         return self._is_kept is None or self._is_kept()
 
--- a/primrosewood/retryhistory.py
+++ b/primrosewood/retryhistory.py
@@ -54,11 +54,17 @@
     requests, retries
         Monotonic seconds in ascending order.  As only intervals are known, no
         request is later and no retry earlier than it was.
+    held
+        Further retries, of which an earlier send may still be read.
+    counted_at
+        Monotonic seconds; the sends of the held retries are older.
     """
 
     service: str
     requests: tuple[float, ...]
     retries: tuple[float, ...]
+    held: int
+    counted_at: float
 
     @classmethod
     def from_record(
@@ -70,6 +76,8 @@
             service=record.service,
             requests=_spread(record.requests, counted_at - interval, interval),
             retries=_spread(record.retries, counted_at, interval),
+            held=record.held,
+            counted_at=counted_at,
         )
 
 
@@ -110,15 +118,17 @@
     def take(self) -> list[EarlierRetries]:
         """Return what was reported since the last call."""
         records, self._records = self._records, {}
-        log_decision(
-            'retries_restored',
-            services=len(records),
-            retries=sum(sum(row.retries) for _at, row in records.values()),
-        )
-        return [
+        restored = [
             EarlierRetries.from_record(record, counted_at)
             for counted_at, record in records.values()
         ]
+        log_decision(
+            'retries_restored',
+            services=len(restored),
+            retries=sum(len(earlier.retries) for earlier in restored),
+            held=sum(earlier.held for earlier in restored) or None,
+        )
+        return restored
 
 
 class RetryArchive:
@@ -170,6 +180,7 @@
         interval_ms=record.interval_ms,
         requests=record.requests,
         retries=record.retries,
+        held=record.held,
     )
 
 
--- a/primrosewood/unreadsends.py
+++ b/primrosewood/unreadsends.py
@@ -23,11 +23,13 @@
 
     Attributes
     ----------
+    backend
+        None if it was sent by the process that ran here before.
     sent_at
         Monotonic seconds.
     """
 
-    backend: Backend
+    backend: Backend | None
     sent_at: float
 
 
--- a/tests/test_callretries.py
+++ b/tests/test_callretries.py
@@ -9,6 +9,7 @@
 from primrosewood.entrycount import EntryCount
 from primrosewood.repeatbudget import RepeatBudget, RepeatRule
 from primrosewood.retrybudgets import RetryBudgets
+from primrosewood.retryhistory import EarlierRetries
 from primrosewood.unreadsends import UnreadSend
 
 from .virtualtime import ManualClock
@@ -62,11 +63,16 @@
         self.assertEqual(0, self.budget.held)
         self.assertEqual(_SHARE, self.spend_all(21.5))
 
-    def test_next_process_counts_held_retries(self):
-        """Guards against a share for each start beside a stopped back end."""
+    def test_next_process_holds_them_too(self):
+        """Guards against late arrivals that are forgotten with a process."""
         self.spend_all(0.0, hold=True)
         record = self.budget.make_record(_SERVICE, 8.0)
-        self.assertEqual(_SHARE, record.retries[0])
+        self.budget = RepeatBudget(_RULE, EntryCount(1))
+        self.budget.restore(EarlierRetries.from_record(record, 8.0))
+        self.assertEqual(_SHARE, self.budget.held)
+        self.assertEqual(0, self.spend_all(18.1))
+        self.assertEqual(0, self.spend_all(28.5))
+        self.assertEqual(_SHARE, self.spend_all(28.7))
 
 
 class CallRetriesTest(unittest.TestCase):
--- a/tests/test_retry_limit.py
+++ b/tests/test_retry_limit.py
@@ -343,14 +343,17 @@
         due = [row for row in self._given_up if row[0] <= now]
         self._given_up = [row for row in self._given_up if row[0] > now]
         for _at, call, backend, sent_at in due:
-            call.retries.record_unread(call.progress, backend, sent_at)
-            self._retry(call, now)
+            # The calls of an entry that was killed meanwhile are gone.
+            if call.entry.alive_from <= sent_at:
+                call.retries.record_unread(call.progress, backend, sent_at)
+                self._retry(call, now)
         super()._send_requests(now)
 
     def _send_request(self, entry, now):
         self.requests.append(now)
         entry.budgets.record_request(_SERVICE, now)
         call = SimpleNamespace(
+            entry=entry,
             retries=CallRetries(entry.budgets, lambda: self._clock.now),
             progress=CallProgress(
                 SimpleNamespace(name='call', service=_SERVICE)
@@ -551,6 +554,15 @@
                 )
             )
 
+    def test_entries_killed_before_back_ends_go_on(self):
+        """Guards against late arrivals that are forgotten with a process."""
+        self.assert_within_limit(
+            lambda everyone: Disruptions(
+                {21.0: everyone}, request_rate=4, until=36.0
+            ),
+            StoppedBackendsSimulation,
+        )
+
     def test_requests_in_two_peaks(self):
         """Guards against retries for requests of two windows of the limit."""
         self.assert_within_limit(
