--- a/tests/processes/retrylimit/__main__.py
+++ b/tests/processes/retrylimit/__main__.py
@@ -10,7 +10,7 @@
 
 import fire
 
-from .fleet import HW_VLOOT
+from .fleet import SMALL_DEPLOYMENT
 from .run import ScenarioRun
 from .scenario import DRAWS
 
@@ -36,11 +36,11 @@
     for seed in seeds if isinstance(seeds, tuple | list) else (seeds,):
         logs = Path(folder).resolve() / f'{kind}-{seed}'
         logs.mkdir(parents=True)
-        scenario = DRAWS[kind](seed, HW_VLOOT)
+        scenario = DRAWS[kind](seed, SMALL_DEPLOYMENT)
         (logs / 'scenario.json').write_text(scenario.describe())
         begun = time.monotonic()
         result = asyncio.run(
-            ScenarioRun(scenario, HW_VLOOT, network, logs).play()
+            ScenarioRun(scenario, SMALL_DEPLOYMENT, network, logs).play()
         )
         exceeds = any(peak.excess > 0 for peak in result.peaks)
         exceeded = exceeded or exceeds
--- a/tests/processes/retrylimit/fleet.py
+++ b/tests/processes/retrylimit/fleet.py
@@ -40,7 +40,7 @@
 
 
 # Numbers by failure domain.
-HW_VLOOT = Size(
+SMALL_DEPLOYMENT = Size(
     domains=('d1', 'd2', 'd3', 'd4'),
     entries=(2, 1, 1, 1),
     engines=(4, 4, 3, 3),
--- a/tests/processes/test_platform_retry_limit.py
+++ b/tests/processes/test_platform_retry_limit.py
@@ -20,7 +20,7 @@
     find_peaks,
     find_repeated,
 )
-from .retrylimit.fleet import HW_VLOOT, render
+from .retrylimit.fleet import SMALL_DEPLOYMENT, render
 from .retrylimit.run import ScenarioRun
 from .retrylimit.scenario import DRAWS
 
@@ -85,14 +85,16 @@
     async def test_seeds(self):
         for kind, seed in _SEEDS:
             with self.subTest(kind=kind, seed=seed):
-                result = await self.play(DRAWS[kind](seed, HW_VLOOT))
+                result = await self.play(DRAWS[kind](seed, SMALL_DEPLOYMENT))
                 self.assertTrue(result.peaks, result.describe())
                 for peak in result.peaks:
                     self.assertLessEqual(peak.excess, 0, result.describe())
 
     async def play(self, scenario):
         with tempfile.TemporaryDirectory() as folder:
-            run = ScenarioRun(scenario, HW_VLOOT, _NETWORK, Path(folder))
+            run = ScenarioRun(
+                scenario, SMALL_DEPLOYMENT, _NETWORK, Path(folder)
+            )
             return await run.play()
 
 
