Bound what a link reads before it is open

A process that accepts a link, or opens one, and sends bytes without end in place of the handshake kept the other one's processor busy until the handshake timed out, 1 s of each 1.3 s for one that an entry connects to, 10 s for one that connects.

A message without end was bounded before by the greatest frame; a test says so now.

--- a/primrosewood/linkpool.py
+++ b/primrosewood/linkpool.py
@@ -9,6 +9,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 
 from . import gen_wire as wire
+from .boundedlinks import BoundedClientConnection
 from .clock import Clock, RandomSource
 from .codec import Message, parse_frame, serialise_frame
 from .errors import WireError
@@ -183,6 +184,7 @@
             ping_interval=None,
             open_timeout=_HANDSHAKE_SECONDS,
             close_timeout=_HANDSHAKE_SECONDS,
+            create_connection=BoundedClientConnection,
             max_size=self._identity.settings.limits.frame_bytes,
             proxy=None,
         ) as socket:
--- a/primrosewood/linkserver.py
+++ b/primrosewood/linkserver.py
@@ -9,6 +9,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from . import gen_wire as wire
+from .boundedlinks import BoundedServerConnection
 from .codec import Message, serialise_frame
 from .gen_process import Limits, Listen
 from .gossip import handle_settings_message, heartbeat
@@ -86,6 +87,7 @@
             ssl=tls,
             compression=None,
             ping_interval=None,
+            create_connection=BoundedServerConnection,
             max_size=limits.frame_bytes,
             backlog=MAX_WAITING_LINKS,
         )
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -16,6 +16,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from . import gen_wire as wire
+from .boundedlinks import BoundedClientConnection, BoundedServerConnection
 from .clock import Clock
 from .codec import Message, encode_message, serialise_frame
 from .link import (
@@ -136,6 +137,7 @@
             ping_interval=None,
             open_timeout=_HANDSHAKE_TIMEOUT_SECONDS,
             close_timeout=_HANDSHAKE_TIMEOUT_SECONDS,
+            create_connection=BoundedClientConnection,
             max_size=_MAX_FRAME_BYTES,
             proxy=None,
         ) as socket:
@@ -225,6 +227,7 @@
             port,
             compression=None,
             ping_interval=None,
+            create_connection=BoundedServerConnection,
             max_size=_MAX_FRAME_BYTES,
             backlog=MAX_WAITING_LINKS,
         )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -10,6 +10,9 @@
 import unittest
 from dataclasses import replace
 
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+
 from primrosewood.answermemory import AnswerMemory, require_stream_size
 from primrosewood.backends import HttpEngine, HttpService, PlainCall
 from primrosewood.backendstate import Backend, BackendRecord
@@ -27,6 +30,8 @@
 )
 from primrosewood.etcd import EtcdKeyValue
 from primrosewood.httpserver import HttpLimits, listen
+from primrosewood.metrics import Metrics
+from primrosewood.peerlink import LinkIdentity, PeerConnector, PeerServer
 from primrosewood.platform.engines import HttpMovableEngine, HttpTransport
 from primrosewood.platform.store import PlatformStore
 from primrosewood.routes import Route, RouteKind, Target
@@ -58,6 +63,7 @@
         b'X: y\r\n' * 1000,
     ),
 }
+_OPENINGS = ('empty lines', 'no status line')
 _BODIES = {
     'a body without a length': (_HEAD + b'\r\n', b'x' * 65_536),
     'a body in chunks': (
@@ -228,22 +234,79 @@
         ):
             with self.subTest(first=first, rest=rest[:10]):
                 since = time.monotonic()
-                await self.send_endless(address, first, rest)
+                await send_endless(address, first, rest)
                 self.assertLess(time.monotonic() - since, 5)
 
     async def answer(self, _request):
         self.fail('a request without end was handled')
 
-    async def send_endless(self, address, first, rest):
-        host, _, port = address.partition(':')
-        _reader, writer = await asyncio.open_connection(host, int(port))
-        with contextlib.suppress(ConnectionError):
-            writer.write(first)
-            while not writer.is_closing():
-                writer.write(rest)
-                await writer.drain()
-                await asyncio.sleep(0)
-        writer.close()
+
+class PeerBytesTest(_EndlessServerCase):
+    """Links between processes."""
+
+    async def test_answers_to_a_link_that_opens(self):
+        """Guards against an entry that one faulty process keeps busy."""
+        identity = LinkIdentity('entry-1', 'x', '', wants_retries=True)
+        connector = PeerConnector(identity, SystemClock(), Metrics())
+        for name in _OPENINGS:
+            self.first, self.rest = _ENDLESS[name]
+            self.sent = 0
+            self.ended.clear()
+            with self.subTest(name):
+                link = connector.open(
+                    f'ws://{self.address}', lambda _message, _link: None
+                )
+                self.addCleanup(link.stop)
+                async with asyncio.timeout(_SECONDS):
+                    await self.ended.wait()
+                link.stop()
+                self.assertLess(self.sent, _MAX_SENT_BYTES)
+
+    async def test_link_that_is_opened_without_end(self):
+        """Guards against a process that one faulty peer keeps busy."""
+        port = free_port()
+        server = PeerServer('', lambda _message, _link: None, Metrics())
+        async with server.listen('127.0.0.1', port):
+            for name in _OPENINGS:
+                _first, rest = _ENDLESS[name]
+                with self.subTest(name):
+                    sent = await send_endless(f'127.0.0.1:{port}', b'', rest)
+                    self.assertLess(sent, _MAX_SENT_BYTES)
+
+    async def test_message_without_end(self):
+        """Guards against a process that is killed for its memory."""
+        port = free_port()
+        server = PeerServer('', lambda _message, _link: None, Metrics())
+        sent = 0
+
+        async def parts():
+            nonlocal sent
+            while True:
+                sent += 65_536
+                yield b'x' * 65_536
+
+        async with server.listen('127.0.0.1', port):
+            async with connect(f'ws://127.0.0.1:{port}') as socket:
+                async with asyncio.timeout(_SECONDS):
+                    with self.assertRaises(ConnectionClosed):
+                        await socket.send(parts())
+        self.assertLess(sent, _MAX_SENT_BYTES)
+
+
+async def send_endless(address, first, rest):
+    """Send bytes until the connection is closed; return how many."""
+    host, _, port = address.partition(':')
+    _reader, writer = await asyncio.open_connection(host, int(port))
+    sent = 0
+    with contextlib.suppress(ConnectionError):
+        writer.write(first)
+        while not writer.is_closing() and sent < 2 * _MAX_SENT_BYTES:
+            writer.write(rest)
+            sent += len(rest)
+            await writer.drain()
+            await asyncio.sleep(0)
+    writer.close()
+    return sent
 
 
 def make_call():
