--- a/tests/test_platform_retries.py
+++ b/tests/test_platform_retries.py
@@ -17,7 +17,7 @@
 class KeptRetriesTest(Deployment):
     """An entry whose calls are refused, and processes that take its name."""
 
-    limits = structs.replace(LIMITS, repeat_window_seconds=4)
+    limits = structs.replace(LIMITS, repeat_window_seconds=6)
 
     async def recall(self, name, wants_retries=True):
         """Connect to all processes beside engines; return what they send."""
@@ -61,7 +61,7 @@
         arrived = sum(len(each.arrived) for each in services)
         for each in services:
             each.refusing = True
-        calls = 3
+        calls = 5
         for _ in range(calls):
             await self.call('GET', '/lookup/')
             await asyncio.sleep(1.1)
