Reserve the network of a run of real processes against other runs

Two whole runs of the tests at the same time used the same loopback addresses, and the second one's test_seeds failed with EADDRINUSE. The lock is a bound socket, as for the blocks of ports of the other tests.

--- a/tests/processes/retrylimit/__main__.py
+++ b/tests/processes/retrylimit/__main__.py
@@ -14,10 +14,8 @@
 from .run import ScenarioRun
 from .scenario import DRAWS
 
-_FIRST_NETWORK = 30
 
-
-def main(seeds, folder, kind='mixed', network=_FIRST_NETWORK):
+def main(seeds, folder, kind='mixed'):
     """Print a line for each seed; exit with 1 if any exceeds the limit.
 
     Parameters
@@ -29,8 +27,6 @@
     kind
         What is drawn from the seed: ``mixed``, ``starts``, ``kills``,
         ``stops`` or ``silences``.
-    network
-        Second octet of the addresses, another one for each run side by side.
     """
     exceeded = False
     for seed in seeds if isinstance(seeds, tuple | list) else (seeds,):
@@ -40,7 +36,7 @@
         (logs / 'scenario.json').write_text(scenario.describe())
         begun = time.monotonic()
         result = asyncio.run(
-            ScenarioRun(scenario, SMALL_DEPLOYMENT, network, logs).play()
+            ScenarioRun(scenario, SMALL_DEPLOYMENT, logs).play()
         )
         exceeds = any(peak.excess > 0 for peak in result.peaks)
         exceeded = exceeded or exceeds
--- a/tests/processes/retrylimit/fleet.py
+++ b/tests/processes/retrylimit/fleet.py
@@ -8,6 +8,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -23,6 +24,8 @@
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
 _CALLER_PORT, _PEER_PORT, _READY_PORT = 8740, 8748, 8749
 _LINK_PORT, _BACKEND_PORT, _STORE_PORT = 7200, 8000, 8742
+_LOCK_PORT = 8799
+_NETWORKS = range(20, 120)
 _BORN = 1_790_000_000_000
 
 
@@ -49,6 +52,22 @@
 )
 
 
+def reserve_network():
+    """Return a socket that reserves a network, and the number of that network.
+
+    Other runs find it taken for as long as the socket is open.
+    """
+    for network in _NETWORKS:
+        lock = socket.socket()
+        try:
+            lock.bind((f'127.{network}.200.1', _LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return lock, network
+    raise RuntimeError('all networks are in use by other runs')
+
+
 def render(template, fields):
     """Fill in a template of settings as the platform does."""
 
--- a/tests/processes/retrylimit/run.py
+++ b/tests/processes/retrylimit/run.py
@@ -12,7 +12,7 @@
 from standins.fleet import make_route
 
 from .checker import RetryLimit, find_peaks
-from .fleet import Fleet
+from .fleet import Fleet, reserve_network
 from .load import Balancer, CallerKind, Callers
 
 _READY_SECONDS = 40
@@ -77,16 +77,18 @@
 class ScenarioRun:
     """Plays a scenario on a deployment."""
 
-    def __init__(self, scenario, size, network, folder):
+    def __init__(self, scenario, size, folder):
         self._scenario = scenario
         self._size = size
         self._random = Random(f'{scenario.seed} run')
+        self._lock, network = reserve_network()
         self._fleet = Fleet(size, network, folder, scenario.first_start)
         self._begun_at = 0.0
 
     async def play(self):
         """Return the result, after all processes have been killed."""
         async with contextlib.AsyncExitStack() as stack:
+            stack.enter_context(self._lock)
             stack.callback(self._fleet.kill_all)
             await self._fleet.serve_store(stack, TABLE)
             session = await stack.enter_async_context(_make_session())
--- a/tests/processes/test_platform_retry_limit.py
+++ b/tests/processes/test_platform_retry_limit.py
@@ -25,7 +25,6 @@
 from .retrylimit.scenario import DRAWS
 
 _LIMIT = RetryLimit(ratio=0.2, slack=2, window=10)
-_NETWORK = 20
 # Kinds and seeds that once failed, each with the failure.
 _SEEDS = {
     ('starts', 10): 'each of the first entries used the share of few entries',
@@ -92,9 +91,7 @@
 
     async def play(self, scenario):
         with tempfile.TemporaryDirectory() as folder:
-            run = ScenarioRun(
-                scenario, SMALL_DEPLOYMENT, _NETWORK, Path(folder)
-            )
+            run = ScenarioRun(scenario, SMALL_DEPLOYMENT, Path(folder))
             return await run.play()
 
 
