Bound the bodies of HTTP clients in one place

The client of the platform's key-value service counted the bytes of a body by itself, beside read_limited, as it restarts a timer with each part.

--- a/primrosewood/boundedanswers.py
+++ b/primrosewood/boundedanswers.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
@@ -13,7 +14,12 @@
 
 from .errors import OversizedAnswerError
 
-__all__ = ('BoundedResponseHandler', 'make_connector', 'read_limited')
+__all__ = (
+    'BoundedResponseHandler',
+    'make_connector',
+    'read_limited',
+    'read_parts',
+)
 
 # Heads of answers and the framing of short chunks take less.
 _MAX_OVERHEAD_BYTES = 262_144
@@ -90,8 +96,10 @@
     return connector
 
 
-async def read_limited(response: aiohttp.ClientResponse, limit: int) -> bytes:
-    """Return the body of a response.
+async def read_parts(
+    response: aiohttp.ClientResponse, limit: int
+) -> AsyncIterator[bytes]:
+    """Yield the parts of a response's body as they arrive.
 
     Parameters
     ----------
@@ -103,11 +111,14 @@
     OversizedAnswerError
         The body is longer.
     """
-    parts = []
     size = 0
     async for part in response.content.iter_any():
         size += len(part)
         if size > limit:
             raise OversizedAnswerError(f'a body of over {limit} bytes')
-        parts.append(part)
-    return b''.join(parts)
+        yield part
+
+
+async def read_limited(response: aiohttp.ClientResponse, limit: int) -> bytes:
+    """Return the body of a response, which is bounded as by `read_parts`."""
+    return b''.join([part async for part in read_parts(response, limit)])
--- a/primrosewood/platform/store.py
+++ b/primrosewood/platform/store.py
@@ -10,13 +10,12 @@
 import aiohttp
 import msgspec
 
-from ..boundedanswers import make_connector
+from ..boundedanswers import make_connector, read_parts
 from ..crashguard import StoredCrashes
 from ..entrycount import StoredEntryCount
 from ..errors import (
     BackendCutError,
     HistoryLostError,
-    OversizedAnswerError,
     StoreUnavailableError,
 )
 from ..httpclient import prevent_resend
@@ -291,11 +290,7 @@
     service may be silent.
     """
     parts = []
-    size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > _MAX_RESPONSE_BYTES:
-            raise OversizedAnswerError(f'over {_MAX_RESPONSE_BYTES} bytes')
+    async for part in read_parts(response, _MAX_RESPONSE_BYTES):
         parts.append(part)
         silence_timer.reschedule(
             asyncio.get_running_loop().time() + silence_seconds
