Log by what a request is recognised, and how connections to back ends end

Nothing told whether two sends that ended servers were of one request: a repetition has a new attempt id, and event=sent named shared parts only. Calls now carry marks (parts, a digest of the content, one of content and headers), made where requests are read; event=sent shows the last eight as marks instead of parts. event=connection_cut shows the start of the back end, whether the head or events had come, and how long the call had been there.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -56,7 +56,8 @@
 # that failed together do not retry together.
 _RETRY_AFTER_SECONDS = 0.5
 _RETRY_JITTER_SECONDS = 0.5
-_MAX_LOGGED_PARTS = 8
+# Of a call's marks; the last ones identify the whole request.
+_MAX_LOGGED_MARKS = 8
 # A moved call may be sent for this long to an engine that is seen to leave.
 _LAST_CALLS_SECONDS = 0.5
 
@@ -215,7 +216,7 @@
             version=self._deps.tables.version,
             seen=len(candidates),
             tokens=context.tokens.total if context.tokens else None,
-            parts='+'.join(call.prompt_parts[:_MAX_LOGGED_PARTS]) or None,
+            marks='+'.join(call.marks[-_MAX_LOGGED_MARKS:]) or None,
             open=chosen.open_calls,
             expected=expected,
             report_age=chosen.report_age(now),
@@ -573,6 +574,17 @@
             if not isinstance(error, UnreachableError):
                 self._retries.record_answer(backend, sent_at)
         elif isinstance(error, BackendCutError):
+            log_decision(
+                'connection_cut',
+                request=call.name,
+                endpoint=backend.name,
+                boot=backend.record.boot,
+                head=progress.head_received or None,
+                last_event=progress.order.last,
+                stopping=backend.stopping or None,
+                seconds=self._now() - sent_at,
+                why=error,
+            )
             self.evidence.record_cut(call, backend)
         else:
             self.evidence.record_unanswered(call, reservation, sent_at)
--- a/primrosewood/directcalls.py
+++ b/primrosewood/directcalls.py
@@ -63,6 +63,8 @@
         None for calls to plain services, which do not generate tokens.
     prompt_parts
         Identifiers of the parts of the prompt that other calls may share.
+    marks
+        By which the call and its repetitions are recognised.
     """
 
     name: str
@@ -78,6 +80,7 @@
     caller_deadline: float
     size: GenerationSize | None = None
     prompt_parts: tuple[str, ...] = ()
+    marks: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -232,6 +232,7 @@
             self._metrics,
             self._stop_window,
             self._settings.entry.body_memory_bytes,
+            self._settings.link_key,
         )
 
     def _report_retries(self, record: wire.RetryRecord) -> None:
--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -22,6 +22,7 @@
 from ..stopping import StopWindow
 from ..timers import TimerGroup
 from . import headers
+from .marks import read_marks
 
 __all__ = ('HttpFrontend', 'answer_readiness_probe')
 
@@ -54,6 +55,7 @@
         metrics: Metrics,
         stop: StopWindow,
         body_memory_bytes: int,
+        mark_key: str = '',
     ) -> None:
         """Start with no requests in progress.
 
@@ -73,6 +75,8 @@
             State of the planned stop.
         body_memory_bytes
             Largest sum of the bodies of requests that are held.
+        mark_key
+            Keys the digests in the marks of calls.
         """
         self.stop = stop
         self._bodies = BodyMemory(body_memory_bytes)
@@ -83,6 +87,7 @@
         self._metrics = metrics
         self._active = 0
         self._body_timers = TimerGroup()
+        self._mark_key = mark_key
 
     @property
     def active(self) -> int:
@@ -208,6 +213,7 @@
             ),
             size=headers.parse_size(raw_headers) if route.streaming else None,
             prompt_parts=headers.parse_shared_parts(raw_headers),
+            marks=read_marks(request, raw_headers, body, self._mark_key),
         )
 
     async def _read_body(
--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -24,8 +24,10 @@
     'filter_caller_headers',
     'find_header',
     'parse_deadline',
+    'parse_prompt_parts',
     'parse_shared_parts',
     'parse_size',
+    'select_repeated_headers',
 )
 
 # Chosen by the caller for each attempt of a request; back ends echo it.
@@ -95,6 +97,21 @@
 )
 
 
+# Headers that differ between a request and its repetition.
+_VOLATILE_HEADERS = frozenset(
+    (
+        ATTEMPT_ID.lower(),
+        LAST_EVENT_ID.lower(),
+        PROMPT_PARTS.lower(),
+        _LENGTH_HINT.lower(),
+        'date',
+        'traceparent',
+        'tracestate',
+        'x-request-id',
+    )
+)
+
+
 def decode_header(raw: bytes) -> str:
     """Return a header's name or value.
 
@@ -168,13 +185,29 @@
     )
 
 
+def parse_prompt_parts(headers: Iterable[Header]) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt, empty without any."""
+    listed = find_header(headers, PROMPT_PARTS)
+    if not listed:
+        return ()
+    return tuple(
+        part.partition(':')[0].strip().lower()[:_MAX_PART_CHARACTERS]
+        for part in listed.split(',')[:_MAX_PARTS]
+    )
+
+
 def parse_shared_parts(headers: Iterable[Header]) -> tuple[str, ...]:
     """Return the ids of the parts of a prompt that requests may share.
 
     The last part is the request's own.
     """
-    listed = find_header(headers, PROMPT_PARTS).split(',')[:-1]
+    return parse_prompt_parts(headers)[:-1]
+
+
+def select_repeated_headers(headers: Iterable[Header]) -> tuple[Header, ...]:
+    """Return the headers that a request has each time it is sent."""
     return tuple(
-        part.partition(':')[0].strip().lower()[:_MAX_PART_CHARACTERS]
-        for part in listed[:_MAX_PARTS]
+        pair
+        for pair in filter_caller_headers(headers)
+        if pair[0].lower() not in _VOLATILE_HEADERS
     )
