--- a/standins/backends.py
+++ b/standins/backends.py
@@ -13,6 +13,8 @@
 
 from aiohttp import web
 
+from .endings import Ending, EndingWay
+
 __all__ = (
     'BORN',
     'EngineStandIn',
@@ -67,6 +69,7 @@
     """A generation with its event count, which includes those before a move."""
 
     name: str
+    request: web.BaseRequest
     events: int = 0
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -92,6 +95,12 @@
         limit.
     arrived
         Arrival times of all calls, also refused ones, in monotonic seconds.
+    powered
+        Whether it answers at all.
+    ending
+        How it ends under some requests, None if it does not.
+    stop_listening
+        Called when it ends; None if its port stays open.
     """
 
     def __init__(self, name: str) -> None:
@@ -102,6 +111,39 @@
         self.leaving = False
         self.limit: float | None = None
         self.arrived: list[float] = []
+        self.powered = True
+        self.ending: Ending | None = None
+        self.stop_listening: Callable[[], Awaitable[None]] | None = None
+
+    def lose_power(self) -> None:
+        """Reset every later connection."""
+        self.powered = False
+
+    async def _end(self) -> None:
+        """End, unless it has ended under another request meanwhile."""
+        if not self.powered:
+            return
+        self.lose_power()
+        if self.stop_listening is not None:
+            await self.stop_listening()
+        if self.ending is not None:
+            await self.ending.end(self.name)
+
+    async def _end_for(
+        self, request: web.BaseRequest, *ways: EndingWay
+    ) -> bool:
+        """End if the request makes it end in one of the ways."""
+        ending = self.ending
+        if ending is None or ending.way not in ways:
+            return False
+        if not await ending.applies_to(request):
+            return False
+        await asyncio.sleep(ending.seconds)
+        await self._end()
+        if ending.way is EndingWay.silent:
+            await asyncio.Event().wait()
+        request.transport.abort()
+        return True
 
     def _check_refusal(self, request: web.BaseRequest) -> web.Response | None:
         """Record the arrival; return an answer if the call must not run."""
@@ -164,10 +206,15 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        if not self.powered:
+            request.transport.abort()
+            return web.Response()
         refusal = self._check_refusal(request)
         if refusal is not None:
             return refusal
         headers = await self._record_call(request)
+        if await self._end_for(request, *EndingWay):
+            return web.Response()
         await asyncio.sleep(self.seconds)
         if self.inject_fault is not None:
             self.inject_fault(request)
@@ -193,8 +240,6 @@
     leaves_ms
         Notice that an engine about to leave states in its report, in
         milliseconds; None for an engine that stays.
-    powered
-        Whether the engine answers at all.
     events
         Number of events in each generation.
     pause
@@ -202,8 +247,6 @@
     crashing_part
         Identifier of a part of prompts; the engine crashes as it begins to
         answer a prompt with it.
-    stop_listening
-        Called when it crashes.
     """
 
     def __init__(self, name: str, address: str, copies: KvCopyStore) -> None:
@@ -212,11 +255,9 @@
         self.address = address
         self.born = BORN
         self.leaves_ms: float | None = None
-        self.powered = True
         self.events = 20
         self.pause = 0.02
         self.crashing_part = ''
-        self.stop_listening: Callable[[], Awaitable[None]] | None = None
         self._copies = copies
         self._runs: dict[str, _Run] = {}
 
@@ -245,7 +286,7 @@
 
     def lose_power(self) -> None:
         """Abort all streams, and reset every later connection."""
-        self.powered = False
+        super().lose_power()
         self.crash()
 
     def _report(self) -> web.Response:
@@ -289,12 +330,19 @@
             previous_events = int(request.headers.get('Last-Event-Id', '0'))
         response = web.StreamResponse(headers=await self._record_call(request))
         response.content_type = 'text/event-stream'
+        if await self._end_for(
+            request, EndingWay.before_head, EndingWay.silent
+        ):
+            return response
         await response.prepare(request)
         if self._crashes_on(request):
-            await self._crash_for_good()
+            await self._end()
             request.transport.abort()
             return response
-        run = _Run(request.headers[_ATTEMPT_HEADER], previous_events)
+        if await self._end_for(request, EndingWay.at_begin):
+            return response
+        name = request.headers[_ATTEMPT_HEADER]
+        run = _Run(name, request, previous_events)
         self._runs[run.name] = run
         try:
             await self._stream(run, response)
@@ -304,18 +352,15 @@
             request.transport.abort()
         return response
 
-    def _crashes_on(self, request: web.BaseRequest) -> bool:
-        listed = request.headers.get(_PARTS_HEADER, '').split(',')[:-1]
-        parts = {part.partition(':')[0] for part in listed}
-        return self.crashing_part in parts
-
-    async def _crash_for_good(self) -> None:
-        self.lose_power()
-        if self.stop_listening is not None:
-            await self.stop_listening()
-
     async def _stream(self, run: _Run, response: web.StreamResponse) -> None:
+        ending = self.ending
         while run.events < self.events:
+            if (
+                ending is not None
+                and run.events >= ending.events
+                and await self._end_for(run.request, EndingWay.after_events)
+            ):
+                return
             try:
                 async with asyncio.timeout(self.pause):
                     await run.stopped.wait()
@@ -325,3 +370,8 @@
                 await response.write(event.encode())
             else:
                 return
+
+    def _crashes_on(self, request: web.BaseRequest) -> bool:
+        listed = request.headers.get(_PARTS_HEADER, '').split(',')[:-1]
+        parts = {part.partition(':')[0] for part in listed}
+        return self.crashing_part in parts
