Take a new start or a removed record for the end of a back end

What callers saw: a request ends server after server where these listen again at once; the port looks as if nothing had happened (test_port_stays_open, test_service_starts_again_at_once, both known red before).

Cause: the only evidence of an end was a refused connection within 0.25 s.

A process beside an engine that does not answer reports it as leaving with no memory at all, which is no notice.

--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -370,6 +370,8 @@
         self._any_reported = True
         self._entries.update(max(self._reported_entries.values()), now)
         backend = self._find_reported(address, report.boot)
+        for earlier in self._backends.list_address(address):
+            earlier.replaced |= 0 < earlier.record.boot < report.boot
         if backend is None:
             return
         if backend.state is None:
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -117,6 +117,7 @@
                 random=make_random(),
                 send=self._engines.report_crash,
                 refuses_connections=self._transport.refuses_connections,
+                is_registered=self._backends.is_registered,
             )
         )
         self._discovery.guard = self._guard
