Ask the guard before a moved stream is resumed

Cause: find_resuming placed a call without the question that every other send asks, so a stream that is moved could go on from engine to engine although the request was known to end them. Found by listing the ways to a back end: first sends, retries, streams begun anew (all through choose) and resumptions.

Test: test_resumption_of_a_call_that_ends_back_ends, which fails without the line (a second send is made).

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -374,6 +374,7 @@
             name; or it takes no calls any more, or its pause outlasts the
             call; or the call would end it.
         """
+        self._require_harmless(progress)
         backend = self._find_holder(progress.call, copy)
         if backend is None or self._is_gone(backend, progress.call):
             raise self.make_failure(progress, ErrorKind.outcome_unknown)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -130,12 +130,18 @@
         self.notices = MoveNotices()
         self.transport = ScriptedTransport()
         self.sink = Sink()
+        self.tables = tables
+        self.entries = entries
+        self.make_relay()
+
+    def make_relay(self, guard=None):
         self.placement = CallPlacement(
             PlacementDependencies(
                 rules=RelayRules('d1'),
-                tables=tables,
+                tables=self.tables,
                 backends=self.backends,
-                entries=entries,
+                entries=self.entries,
+                guard=guard,
                 balancer=LeastCostBalancer(random.Random(1)),
                 random=random.Random(1),
                 clock=self.clock,
@@ -499,6 +505,16 @@
         self.assertLessEqual(len(resumptions), 5)
         self.assertEqual({ErrorKind.generation_lost}, set(kinds))
 
+    async def test_resumption_of_a_call_that_ends_back_ends(self):
+        """Guards against a moved stream that ends one engine after another."""
+        guard = mock.Mock()
+        guard.refuse_for.side_effect = [None, 60.0]
+        self.make_relay(guard)
+        with self.assertRaises(RequestFailedError) as caught:
+            await self.resume_at('e2:80')
+        self.assertEqual(ErrorKind.generation_lost, caught.exception.kind)
+        self.assertEqual(1, len(self.transport.backend_attempts))
+
     async def test_resumptions_wait_for_the_end_of_a_pause(self):
         """Guards against streams that are moved to a paused engine at once.
 
