Explain a refused request that ends back ends, and play one with processes

primrosewood-ctl explain says of a request refused as crashes_endpoints which back ends ended under it and who saw that. The fleet of stand-ins takes an ending by POST /faults.

parse_shared_parts is gone: the last part of a prompt is a mark like the others, so that its test now states that no part is left out, with the same rows.

--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -25,7 +25,6 @@
     'find_header',
     'parse_deadline',
     'parse_prompt_parts',
-    'parse_shared_parts',
     'parse_size',
     'select_repeated_headers',
 )
@@ -196,14 +195,6 @@
     )
 
 
-def parse_shared_parts(headers: Iterable[Header]) -> tuple[str, ...]:
-    """Return the ids of the parts of a prompt that requests may share.
-
-    The last part is the request's own.
-    """
-    return parse_prompt_parts(headers)[:-1]
-
-
 def select_repeated_headers(headers: Iterable[Header]) -> tuple[Header, ...]:
     """Return the headers that a request has each time it is sent."""
     return tuple(
--- a/primrosewood/requesttrace.py
+++ b/primrosewood/requesttrace.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from .loglines import OUTCOMES, PROCESS_STOPPED, LogLine
 
@@ -282,8 +283,9 @@
     outcomes: Sequence[LogLine],
     state_lines: Sequence[LogLine],
 ) -> str:
-    if outcomes[-1].get('kind') == 'leaving':
-        return _explain_stop(ordered, outcomes[-1])
+    explain = _EXPLAINED_KINDS.get(outcomes[-1].get('kind'))
+    if explain is not None:
+        return explain(ordered, outcomes[-1])
     if outcomes[0].get('why') == PROCESS_STOPPED:
         return f'{outcomes[0].process} ended its planned stop, it may have run'
     failed = [line for line in ordered if line.event == 'send_failed']
@@ -310,6 +312,16 @@
     return f'by the routes of version {version}'
 
 
+def _explain_harm(ordered: Sequence[LogLine], _outcome: LogLine) -> str:
+    """Return which back ends ended under a request that was refused."""
+    decisions = [line for line in ordered if line.event == 'call_would_crash']
+    if not decisions:
+        return 'back ends would end under it'
+    ends = decisions[-1].get('crashes')
+    reporters = decisions[-1].get('reporters')
+    return f'back ends ended under it: {ends}, as seen by {reporters}'
+
+
 def _find_active(
     state_lines: Sequence[LogLine], process: str, event: str, end_suffix: str
 ) -> LogLine | None:
@@ -330,3 +342,9 @@
 
 def _may_have_run(failed: Sequence[LogLine]) -> bool:
     return any(line.get('doubtful') == 'True' for line in failed)
+
+
+# Kinds of refusals that lines with the request's ID explain alone.
+_EXPLAINED_KINDS = MappingProxyType(
+    {'crashes_endpoints': _explain_harm, 'leaving': _explain_stop}
+)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from .backends import BORN, EngineStandIn, KvCopyStore, ServiceStandIn
+from .endings import Ending, EndingBackend, EndingWay
 from .store import StoreStandIn
 
 __all__ = ('Fleet', 'make_record', 'make_route')
@@ -149,15 +150,13 @@
         The body has fields of ``StoreFaults``.  Under ``leave`` it may give
         the notice in milliseconds by the names of engines that leave, under
         ``limits`` the calls per second by the names of back ends (null removes
-        a limit), and as ``crashing_part`` the part of prompts that crashes all
-        engines.
+        a limit), as ``crashing_part`` the part of prompts that crashes all
+        engines, and as ``ending`` the ``marker`` of requests under which back
+        ends end and the ``way``, for good.
         """
         faults = await request.json()
-        if 'crashing_part' in faults:
-            crashing_part = faults.pop('crashing_part')
-            for engine in self.engines.values():
-                engine.crashing_part = crashing_part
         back_ends = {**self.engines, _SERVICE_NAME: self.service}
+        self._set_ends(faults)
         for name, rate in faults.pop('limits', {}).items():
             back_ends[name].limit = rate
         for name, notice_ms in faults.pop('leave', {}).items():
@@ -167,6 +166,17 @@
             setattr(self.store_stand_in.faults, fault, value)
         return web.Response(status=_OK)
 
+    def _set_ends(self, faults: dict) -> None:
+        """Take out of the faults under which requests back ends end."""
+        if 'crashing_part' in faults:
+            crashing_part = faults.pop('crashing_part')
+            for engine in self.engines.values():
+                engine.crashing_part = crashing_part
+        if 'ending' in faults:
+            ending = _read_ending(faults.pop('ending'))
+            for back_end in (*self.engines.values(), self.service):
+                back_end.ending = ending
+
     async def _leave(self, name: str, notice_ms: float) -> None:
         """Announce that an engine leaves, and end it after the notice."""
         engine = self.engines[name]
@@ -185,6 +195,15 @@
         self.store_stand_in.store.delete(f'servers/{name}')
 
 
+def _read_ending(stated: dict[str, str]) -> Ending:
+    way = EndingWay(stated['way'])
+    return Ending(stated['marker'], way, _ignore_end)
+
+
+async def _ignore_end(_back_end: EndingBackend) -> None:
+    """Let a back end that ended stay away."""
+
+
 def _loopback_host(last_octet: int) -> str:
     return f'127.0.0.{last_octet}'
 
--- a/tests/test_logstory.py
+++ b/tests/test_logstory.py
@@ -63,6 +63,31 @@
             [each.event for each in trace.state_lines],
         )
 
+    def test_refused_as_it_ends_back_ends(self):
+        """Guards against a refusal that names no cause."""
+        texts = [
+            line(
+                'entry',
+                2,
+                'call_would_crash',
+                request='ab12',
+                crashes='i-1@7+i-2@8+i-3@9',
+                reporters='e-1',
+            ),
+            line(
+                'entry',
+                3,
+                'call_failed',
+                request='ab12',
+                kind='crashes_endpoints',
+            ),
+        ]
+        self.assertEqual(
+            'refused as crashes_endpoints: back ends ended under it: '
+            'i-1@7+i-2@8+i-3@9, as seen by e-1',
+            self.trace(texts).verdict,
+        )
+
     def test_files_in_any_order(self):
         endpoint = [each for each in MOVED if 'process=side' in each]
         entry = [each for each in MOVED if 'process=entry' in each]
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -7,7 +7,7 @@
     filter_caller_headers,
     find_header,
     parse_deadline,
-    parse_shared_parts,
+    parse_prompt_parts,
     parse_size,
 )
 
@@ -80,15 +80,15 @@
         self.assertIsNone(parse_size([(name, 'many,80')]))
         self.assertEqual(0, parse_size([(name, '5')]).max_answer_tokens)
 
-    def test_shared_parts(self):
-        """Guards against a request's own part that counts as shared."""
+    def test_prompt_parts(self):
+        """Guards against a request whose own part is left out."""
         for text, parts in (
             ('', ()),
-            ('5c1e:80', ()),
-            ('5C1e:80, 91bd:41,e440:25', ('5c1e', '91bd')),
-            (',,', ('', '')),
-            ('5c1e', ()),
+            ('5c1e:80', ('5c1e',)),
+            ('5C1e:80, 91bd:41,e440:25', ('5c1e', '91bd', 'e440')),
+            (',,', ('', '', '')),
+            ('5c1e', ('5c1e',)),
         ):
             with self.subTest(text):
                 received = [('primrosewood-prefix-hash', text)]
-                self.assertEqual(parts, parse_shared_parts(received))
+                self.assertEqual(parts, parse_prompt_parts(received))
--- a/tests/test_requestmarks.py
+++ b/tests/test_requestmarks.py
@@ -3,10 +3,7 @@
 import unittest
 from dataclasses import replace
 
-from primrosewood.platform.headers import (
-    parse_prompt_parts,
-    select_repeated_headers,
-)
+from primrosewood.platform.headers import select_repeated_headers
 from primrosewood.requestmarks import RequestContent, make_marks
 
 _CONTENT = RequestContent(
@@ -77,16 +74,6 @@
         ]
         self.assertEqual((kept,), select_repeated_headers(received))
 
-    def test_prompt_parts(self):
-        for text, parts in (
-            ('', ()),
-            ('5c1e:80', ('5c1e',)),
-            ('5C1e:80, 91bd:41', ('5c1e', '91bd')),
-        ):
-            with self.subTest(text):
-                received = [('primrosewood-prefix-hash', text)]
-                self.assertEqual(parts, parse_prompt_parts(received))
-
 
 if __name__ == '__main__':
     unittest.main()
