Keep ends in order when a doubt is renewed

A connection that breaks again at the same back end moves the time of a doubt, but not its place among the ends, which are counted in order; three moments were then counted as one, and a call was sent while a third end was in doubt. Found by reading. test_doubt_that_is_renewed fails before. With it, the seconds of silence before a call is given up are written without a falsy zero.

--- a/primrosewood/callevidence.py
+++ b/primrosewood/callevidence.py
@@ -106,7 +106,8 @@
         if not reservation.answered and now >= since + silence_limit:
             reservation.backend.record_failure(now)
         silence = progress.silence(now)
-        if min(now - since, silence or now) >= _SILENT_SECONDS:
+        waited = now - since if silence is None else min(silence, now - since)
+        if waited >= _SILENT_SECONDS:
             self._blame(progress, reservation.backend, since)
 
     def _blame(
--- a/primrosewood/crashevidence.py
+++ b/primrosewood/crashevidence.py
@@ -108,12 +108,12 @@
             if not crash.blamed:
                 return False
             self._seen.append(SeenCrash(crash.limit_calls(), now))
-            self._seen.sort(key=_order)
             self._drop_excess()
         else:
             merged = known.crash.merge(crash)
             if not merged.certain:
                 known.seen_at = max(known.seen_at, now)
+                self._seen.sort(key=_order)
             if merged == known.crash:
                 return False
             known.replace(merged)
--- a/tests/test_crashevidence.py
+++ b/tests/test_crashevidence.py
@@ -195,6 +195,16 @@
         self.evidence.drop_expired(8)
         self.assertFalse(self.is_refused('b'))
 
+    def test_doubt_that_is_renewed(self):
+        """Guards against ends that are counted out of their order."""
+        call = BlamedCall(('b',), 'o')
+        self.record(1, call, now=1.0, certain=False)
+        self.record(2, call, now=2.0)
+        self.record(3, call, now=2.5)
+        again = BlamedCall(('b', 'c'), 'o')
+        self.record(1, again, now=4.0, certain=False)
+        self.assertTrue(self.is_refused('b'))
+
     def test_doubts_do_not_displace_ends(self):
         """Guards against ends forgotten over connections that just break."""
         for number in (1, 2, 3):
