Delimit the body in the digest of a request

A body that ends in encoded headers had the digest of a request with these headers, so that a caller could make its request look like another one. Found by reading; test_body_does_not_run_into_headers fails before.

--- a/primrosewood/requestmarks.py
+++ b/primrosewood/requestmarks.py
@@ -58,12 +58,13 @@
     """
     key_bytes = key.encode()[:_MAX_KEY_BYTES]
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES, key=key_bytes)
-    _update(digest, (content.method, content.target, *content.prompt_parts))
-    digest.update(content.body)
+    texts = (content.method, content.target, *content.prompt_parts)
+    _update(digest, map(_encode, texts))
+    _update(digest, (content.body,))
     same_content = digest.hexdigest()
     headers = sorted((name.lower(), text) for name, text in content.headers)
     for pair in headers:
-        _update(digest, pair)
+        _update(digest, map(_encode, pair))
     parts = dict.fromkeys(_shorten(part) for part in content.prompt_parts)
     parts.pop('', None)
     return (
@@ -83,11 +84,14 @@
     return mark.startswith(f'{_CONTENT}:')
 
 
-def _update(digest: 'hashlib._Hash', texts: Iterable[str]) -> None:
-    for text in texts:
-        encoded = text.encode(errors='surrogateescape')
-        digest.update(len(encoded).to_bytes(4))
-        digest.update(encoded)
+def _encode(text: str) -> bytes:
+    return text.encode(errors='surrogateescape')
+
+
+def _update(digest: 'hashlib._Hash', fields: Iterable[bytes]) -> None:
+    for each in fields:
+        digest.update(len(each).to_bytes(4))
+        digest.update(each)
 
 
 def _shorten(part: str) -> str:
--- a/tests/test_requestmarks.py
+++ b/tests/test_requestmarks.py
@@ -48,6 +48,13 @@
             [], self.shared(method='POS', target='T/a?b=1', prompt_parts=())
         )
 
+    def test_body_does_not_run_into_headers(self):
+        """Guards against a body made to look like another request."""
+        disguised = b'body' + bytes((0, 0, 0, 3)) + b'x-a' + bytes((0, 0, 0, 1))
+        self.assertEqual(
+            ['f', 'o'], self.shared(body=disguised + b'1', headers=())
+        )
+
     def test_key(self):
         """Guards against content that can be guessed from logs."""
         marks = set(make_marks(_CONTENT, 'key'))
