Drop the oldest ends by their time where there are too many

Since ends are kept in order where a doubt is renewed, a new one was appended and the excess dropped before it had its place; an older one that is read from the store displaced a newer one. Found by reading the change; 51 tests of the two modules pass, none shows it.

--- a/primrosewood/crashevidence.py
+++ b/primrosewood/crashevidence.py
@@ -184,6 +184,7 @@
         )
 
     def _drop_excess(self) -> None:
+        self._seen.sort(key=_order)
         certain = self._certain()
         doubts = [each for each in self._seen if not each.crash.certain]
         kept = certain[-_MAX_CRASHES:] + doubts[-_MAX_DOUBTS:]
