Tell engines the priority of each call where a deployment asks for it

Cause: a route's and an organisation's priority were decoded nowhere, and no urgency was sent.

Change: both are decoded into one table (an organisation's rank takes precedence, a wrong value counts for none and is logged, the document stays in force), and the rank goes with each send and resumption. In force where the settings ask for it (`priorities`) or the platform's agreements include memory pressure; other deployments send what they sent.

Ruled out: refusing a document with a wrong priority, as routes and keys would wait for the next one.

--- a/primrosewood/directcalls.py
+++ b/primrosewood/directcalls.py
@@ -61,6 +61,9 @@
         Monotonic seconds until which the caller waits.
     size
         None for calls to plain services, which do not generate tokens.
+    priority
+        Rank among the calls of its service, 0 for the most urgent ones; None
+        if operators have set none.
     marks
         By which the call and its repetitions are recognised.
     """
@@ -77,6 +80,7 @@
     deadline: float
     caller_deadline: float
     size: GenerationSize | None = None
+    priority: int | None = None
     marks: tuple[str, ...] = ()
 
 
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -5,12 +5,15 @@
 """
 
 import re
-from typing import Annotated, Literal
+from collections.abc import Iterable
+from typing import Annotated, Any, Literal
 
 import msgspec
 
 from ..backendstate import BackendRecord
 from ..errors import WireError
+from ..logs import log_event
+from ..priorities import PriorityTable
 from ..rollouts import RolloutOrder, RolloutState, RolloutStatus
 from ..routes import (
     CallerLimits,
@@ -72,6 +75,8 @@
     split: list[_WeightedService] = []
     # Back ends that may run one call, not attempts to reach them.
     max_attempts: NonNegativeInt = 1
+    # Any value is accepted, so that a wrong one does not void the document.
+    priority: Any = None
     anonymous: bool = False
     resumable: bool = False
 
@@ -103,6 +108,8 @@
 
 class _Tenant(msgspec.Struct):
     name: NonEmptyText
+    # Takes precedence over the priority of a route.
+    priority: Any = None
     api_keys: list[str] = []
 
 
@@ -182,6 +189,10 @@
             table.limits.max_body_bytes,
             table.limits.header_timeout_ms / _MS_PER_SECOND,
         ),
+        priorities=PriorityTable(
+            routes=_read_priorities(table.routes),
+            organisations=_read_priorities(tenants or ()),
+        ),
         keys_required=tenants is not msgspec.UNSET,
     )
 
@@ -277,6 +288,25 @@
     return stored
 
 
+def _is_priority(found: Any) -> bool:
+    # JSON's true and false are integers to Python.
+    is_number = isinstance(found, int) and not isinstance(found, bool)
+    return is_number and found >= 0
+
+
+def _read_priorities(rows: Iterable[_Route | _Tenant]) -> dict[str, int]:
+    """Return the valid priorities by name; a wrong one counts for none."""
+    priorities: dict[str, int] = {}
+    for row in rows:
+        if _is_priority(row.priority):
+            priorities[row.name] = row.priority
+        elif row.priority is not None:
+            log_event(
+                'priority_ignored', 'WARNING', name=row.name, why=row.priority
+            )
+    return priorities
+
+
 def _to_route(route: _Route) -> Route:
     targets = [Target(share.service, share.weight) for share in route.split]
     return Route(
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -161,6 +161,8 @@
     ----------
     clock
         Its monotonic time is what the deadlines of calls refer to.
+    sends_priorities
+        Whether engines are told the priority of each call.
     on_rate_limit
         Called with a back end, the rate limit in its response (calls per
         second, None for no limit), and the monotonic time at which the call
@@ -171,8 +173,10 @@
         self,
         clock: Clock,
         on_rate_limit: Callable[[Backend, float | None, float], None],
+        sends_priorities: bool = False,
     ) -> None:
         """Open no session before the first call."""
+        self.sends_priorities = sends_priorities
         self._clock = clock
         self._on_rate_limit = on_rate_limit
         self._lazy_session: aiohttp.ClientSession | None = None
@@ -281,6 +285,10 @@
         request_headers[headers.EXPECTED_BACKEND] = backend_attempt.backend.name
         if call.organisation:
             request_headers[headers.ORGANISATION] = call.organisation
+        if self.sends_priorities and call.priority is not None:
+            request_headers[headers.PRIORITY] = str(
+                min(call.priority, headers.LOWEST_PRIORITY)
+            )
         if backend_attempt.after_event is not None:
             request_headers[headers.LAST_EVENT_ID] = str(
                 backend_attempt.after_event
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -37,7 +37,12 @@
 from .draining import drain, make_stop_window
 from .engines import HttpTransport
 from .frontend import HttpFrontend, answer_readiness_probe
-from .rules import make_entry_count, make_history, make_rules
+from .rules import (
+    make_entry_count,
+    make_history,
+    make_rules,
+    sends_priorities,
+)
 from .store import PlatformStore
 
 __all__ = ('EntryNode',)
@@ -92,7 +97,11 @@
             make_random(),
             self._engines.send_to_one,
         )
-        self._transport = HttpTransport(self._clock, self._limits.record_answer)
+        self._transport = HttpTransport(
+            self._clock,
+            self._limits.record_answer,
+            sends_priorities(settings),
+        )
         self._discovery = Discovery(
             self._tables,
             self._backends,
@@ -180,6 +189,7 @@
     def reload(self, settings: NodeSettings) -> None:
         """Apply the limits of reloaded settings."""
         self._placement.update_rules(make_rules(settings))
+        self._transport.sends_priorities = sends_priorities(settings)
         self._stop_window.seconds = make_stop_window(settings).seconds
 
     def _make_rollouts(self) -> RolloutControl:
--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -12,9 +12,11 @@
     'EXPECTED_BACKEND',
     'LAST_EVENT_ID',
     'LEAVING',
+    'LOWEST_PRIORITY',
     'MOVED_FROM',
     'NOT_EXECUTED',
     'ORGANISATION',
+    'PRIORITY',
     'PROMPT_PARTS',
     'RATE_LIMIT',
     'RESPONSE_SEAL',
@@ -40,6 +42,8 @@
 ORGANISATION = 'Primrosewood-Tenant'
 # Proves that the back end itself made the response.
 RESPONSE_SEAL = 'Primrosewood-Response-Seal'
+# Rank of a call at an engine, from 0 for the most urgent ones to 9.
+PRIORITY = 'Primrosewood-Urgency'
 # Present in a response to a call that the back end did not run.
 NOT_EXECUTED = 'Primrosewood-Not-Executed'
 # ``host:port/handle`` of the KV cache copy that a moved generation resumes
@@ -57,6 +61,9 @@
 # The caller's estimate of the answer's tokens.
 _LENGTH_HINT = 'Primrosewood-Length-Hint'
 
+# Greatest rank that an engine accepts.
+LOWEST_PRIORITY = 9
+
 _MS_PER_SECOND = 1000
 _MAX_PARTS = 64
 _MAX_PART_CHARACTERS = 64
@@ -91,7 +98,7 @@
         'primrosewood-hold',
         'primrosewood-kv-backup',
         'primrosewood-pin-ms',
-        'primrosewood-urgency',
+        PRIORITY.lower(),
     )
 )
 
--- a/primrosewood/platform/rules.py
+++ b/primrosewood/platform/rules.py
@@ -8,8 +8,15 @@
 from ..retryhistory import RetryHistory
 from ..sharedlimits import ColdRule
 
-__all__ = ('make_entry_count', 'make_history', 'make_rules')
-
+__all__ = (
+    'make_entry_count',
+    'make_history',
+    'make_rules',
+    'sends_priorities',
+)
+
+# Agreement of the platform by which engines run out of memory.
+_MEMORY_PRESSURE = 'pressure'
 # Number of entries assumed until it is known.
 _ASSUMED_ENTRIES = 8
 
@@ -25,6 +32,14 @@
     return RetryHistory(clock, repeats.retry_seconds)
 
 
+def sends_priorities(settings: NodeSettings) -> bool:
+    """Return whether engines are told the priorities of calls.
+
+    Where engines run out of memory, priorities decide whose generation goes on.
+    """
+    return settings.priorities or _MEMORY_PRESSURE in settings.agreements
+
+
 def make_rules(settings: NodeSettings) -> RelayRules:
     """Return the limits that the settings state."""
     limits = settings.limits
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .priorities import PriorityTable
+
 __all__ = (
     'CallerLimits',
     'EngineTraits',
@@ -148,6 +150,8 @@
         Traits of each service, by its name.
     organisations
         Name of the organisation that holds each key, by the key.
+    priorities
+        Ranks of calls.
     keys_required
         Whether callers need a key; if there are none, nobody is admitted.
     """
@@ -156,6 +160,7 @@
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceTraits] = field(default_factory=dict)
     organisations: Mapping[str, str] = field(default_factory=dict)
+    priorities: PriorityTable = PriorityTable()
     limits: CallerLimits = CallerLimits()
     keys_required: bool = True
 
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -105,6 +105,24 @@
         address = await self.serve(COMPLETE_RESPONSE)
         self.assertEqual(b'whole', await self.fetch(address))
 
+    async def test_priority_that_an_engine_is_told(self):
+        """Guards against deployments that did not ask for priorities."""
+        for sends, priority, sent in (
+            (True, 0, b'primrosewood-urgency: 0\r\n'),
+            (True, 12, b'primrosewood-urgency: 9\r\n'),
+            (True, None, None),
+            (False, 0, None),
+        ):
+            with self.subTest(sends=sends, priority=priority):
+                self.transport.sends_priorities = sends
+                address = await self.serve(COMPLETE_RESPONSE)
+                await self.fetch(address, priority=priority)
+                head = self.received[-1].lower()
+                if sent:
+                    self.assertIn(sent, head)
+                else:
+                    self.assertNotIn(b'primrosewood-urgency', head)
+
     async def test_reset_truncates_a_response_without_length(self):
         """Guards against a truncated response that passes as complete.
 
