Keep prompts away from streams that they would delay

Placement knew an added delay, no bound on pauses.

Change: the process beside an engine measures the time per token with and without a prompt in prefill, follows which streams were not delayed yet, and reports how much expected output a further prompt would make late. Entries add that to the cost of an engine, and the risk to the call's own stream. Nothing is reported where no stream would be delayed.

Ruled out: the longest pauses as entries see them (an entry sees one stream in 24 s of an engine that lives for 20 s); a bound on prompts for each engine (it leaves room unused while no stream runs).

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -56,6 +56,7 @@
 # that failed together do not retry together.
 _RETRY_AFTER_SECONDS = 0.5
 _RETRY_JITTER_SECONDS = 0.5
+_MICROSECONDS_PER_SECOND = 1e6
 # Of a call's marks; the last ones identify the whole request.
 _MAX_LOGGED_MARKS = 8
 # A moved call may be sent for this long to an engine that is seen to leave.
@@ -81,9 +82,7 @@
     cold: ColdRule = ColdRule()
 
 
-def _announce_nothing(
-    _backend: Backend, _name: str, _prompt_tokens: int, _total_tokens: int
-) -> None:
+def _announce_nothing(_backend: Backend, _placed: wire.CallPlaced) -> None:
     """Ignore an announcement; the default of `announce`."""
 
 
@@ -102,9 +101,7 @@
     Attributes
     ----------
     announce
-        Announces a call to the endpoint process beside its engine: the back
-        end, the call's name, its prompt tokens to prefill and its expected
-        total tokens.
+        Announces a call to the endpoint process beside its engine.
     rollouts
         Restricts calls to back ends of a version that is rolled out, None for
         no restrictions.
@@ -134,7 +131,7 @@
     metrics: Metrics
     lengths: LengthPredictor = field(default_factory=LengthPredictor)
     rollouts: RolloutControl | None = None
-    announce: Callable[[Backend, str, int, int], None] = _announce_nothing
+    announce: Callable[[Backend, wire.CallPlaced], None] = _announce_nothing
     count_call: Callable[[Backend], None] = _count_nothing
     started_at: float = float('-inf')
     guard: CrashGuard | None = None
@@ -206,11 +203,15 @@
         context = self._make_context(call, now)
         chosen = self._deps.balancer.choose(candidates, context)
         expected = self._check_first_event(progress, chosen, context)
+        endangered = chosen.state.endangered_tokens if chosen.state else 0
+        if endangered:
+            self._deps.metrics.count('prompts_beside_slow_streams')
         log_decision(
             'sent',
             request=call.name,
             route=call.route.name,
             organisation=call.organisation,
+            priority=call.priority,
             endpoint=chosen.name,
             boot=chosen.record.boot,
             version=self._deps.tables.version,
@@ -219,6 +220,7 @@
             marks='+'.join(call.marks[-_MAX_LOGGED_MARKS:]) or None,
             open=chosen.open_calls,
             expected=expected,
+            endangered=endangered or None,
             report_age=chosen.report_age(now),
             limit=chosen.call_limit.rate,
             left=call.deadline - now,
@@ -330,10 +332,7 @@
         tokens = self._expected_tokens(call)
         reservation = Reservation(backend_attempt, tokens)
         if tokens is not None:
-            unread = tokens.prompt if reservation.reads_prompt else 0
-            self._deps.announce(
-                backend_attempt.backend, call.name, unread, tokens.total
-            )
+            self._announce(call, reservation, tokens)
         try:
             yield reservation
         except (
@@ -439,6 +438,27 @@
                 progress, ErrorKind.crashes_endpoints, retry_seconds=seconds
             )
 
+    def _announce(
+        self, call: DirectCall, reservation: Reservation, tokens: ReservedTokens
+    ) -> None:
+        allowed = self._allowed_token_seconds(call)
+        self._deps.announce(
+            reservation.backend,
+            wire.CallPlaced(
+                attempt=call.name,
+                unread_tokens=tokens.prompt if reservation.reads_prompt else 0,
+                whole_tokens=tokens.total,
+                answer_tokens=tokens.answer,
+                allowed_token_micros=int(allowed * _MICROSECONDS_PER_SECOND),
+            ),
+        )
+
+    def _allowed_token_seconds(self, call: DirectCall) -> float:
+        """Return the longest time per token for a stream on time, 0 for any."""
+        traits = self.engine_traits(call.service)
+        event_tokens = traits.event_tokens if traits else 1
+        return call.route.longest_pause / event_tokens
+
     def _count_bytes(self, call: DirectCall, reservation: Reservation) -> None:
         domain = reservation.backend.record.failure_domain
         place = 'same' if domain == self._rules.failure_domain else 'other'
@@ -505,6 +525,8 @@
             objective=call.route.objective,
             prompt_rate=self._prompt_rate(call.service).tokens_per_second,
             token_seconds=self._deps.backends.token_seconds(call.service),
+            allowed_token_seconds=self._allowed_token_seconds(call),
+            event_tokens=traits.event_tokens if traits else 1,
         )
 
     def _prompt_rate(self, service: str) -> PromptRateEstimator:
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -22,6 +22,7 @@
 from .logs import log_decision, log_event
 from .metrics import Metrics
 from .movableengine import EngineLocation, EngineReading, MovableEngine
+from .pauses import StreamPauses
 from .peerlink import PeerServer
 from .timers import wait_until_set
 from .waitingcalls import WaitingCalls
@@ -45,6 +46,7 @@
 _MAX_ASKED_FOR_CHANGES = 2
 # Entries repeat several times a second that an engine is to be stopped.
 _RETIRED_SECONDS = 2.0
+_MICROSECONDS_PER_SECOND = 1e6
 # Reported while the engine does not answer, so that it gets no new calls.
 _UNREACHABLE_STATE = EngineState(leaving=True)
 
@@ -86,6 +88,7 @@
         self._token_time = TokenTimeEstimator()
         self._memory_release = MemoryReleaseEstimator()
         self._waiting = WaitingCalls()
+        self._pauses = StreamPauses()
         self._batch_timer: asyncio.TimerHandle | None = None
         self._reading: EngineReading | None = None
         self._engine_reachable = asyncio.Event()
@@ -259,6 +262,7 @@
         self._token_time = TokenTimeEstimator()
         self._memory_release = MemoryReleaseEstimator()
         self._waiting = WaitingCalls()
+        self._pauses = StreamPauses()
         self._reports.record_state(_UNREACHABLE_STATE, self._clock.monotonic())
         # Without a report entries would assume that this process is lost.
         self._send_report_if_due()
@@ -267,6 +271,11 @@
         self._mover.record_expected_tokens(
             message.attempt, message.whole_tokens
         )
+        self._pauses.add(
+            message.attempt,
+            message.answer_tokens,
+            message.allowed_token_micros / _MICROSECONDS_PER_SECOND,
+        )
         if not message.unread_tokens:
             # A moved generation that continues here is already counted.
             return
@@ -298,11 +307,16 @@
         waiting = reading.state.running + reading.state.queued
         waiting -= len(reading.runs)
         self._waiting.update(reading.runs, waiting, started_at)
+        self._pauses.observe(
+            reading.runs, reading.state.unread_tokens, started_at
+        )
         state = replace(
             reading.state,
             token_seconds=self._token_time.seconds,
             freed_per_second=self._memory_release.tokens_per_second,
             waited=self._waiting.longest_wait(started_at),
+            prefill_token_seconds=self._pauses.delaying_token_seconds,
+            endangered_tokens=self._pauses.endangered_tokens,
         )
         self._reports.record_boot(reading.boot)
         self._reports.record_state(state, started_at)
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -63,6 +63,26 @@
     """
     Tokens of the prompt and of the expected answer.
     """
+    answer_tokens: (
+        Annotated[int, Meta(description='Tokens of the expected answer.', ge=0)]
+        | UnsetType
+    ) = 0
+    """
+    Tokens of the expected answer.
+    """
+    allowed_token_micros: (
+        Annotated[
+            int,
+            Meta(
+                description='Longest time per token for a stream on time, in microseconds; 0 for no limit.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Longest time per token for a stream on time, in microseconds; 0 for no limit.
+    """
 
 
 class Cancel(Struct, array_like=True):
@@ -439,6 +459,32 @@
     """
     Start of the engine; 0 if it is that of an earlier report on the link, or not known.
     """
+    prefill_token_micros: (
+        Annotated[
+            int,
+            Meta(
+                description='Expected time per token while a prompt is prefilled, in microseconds; 0 if it would delay no stream.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Expected time per token while a prompt is prefilled, in microseconds; 0 if it would delay no stream.
+    """
+    endangered_tokens: (
+        Annotated[
+            int,
+            Meta(
+                description='Expected answer tokens of the streams that would pause too long while a prompt is prefilled.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Expected answer tokens of the streams that would pause too long while a prompt is prefilled.
+    """
 
 
 class EngineRetired(Struct, array_like=True):
