Rank calls by organisation, then by route; measure pauses by events

Cause: on the freight deployment every organisation but one has the same priority, so that it hides those of the routes, and nothing changed for queries.

Change: the rank orders by the priority that takes precedence and decides between equals by the route's; pauses are measured by events, which is also what callers are promised.

--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -122,9 +122,9 @@
     waited
         Seconds for which the first of the waiting generations has waited for
         its first event.
-    prefill_token_seconds
-        Seconds per token while a prompt is prefilled, 0 if that is unknown or
-        would delay no stream.
+    prefill_pause
+        Seconds between events while a prompt is prefilled, 0 if that is
+        unknown or would delay no stream.
     endangered_tokens
         Expected answer tokens of the streams that would pause too long while
         a prompt is prefilled.
@@ -141,7 +141,7 @@
     queued_tokens: int = 0
     freed_per_second: float = 0
     waited: float = 0
-    prefill_token_seconds: float = 0
+    prefill_pause: float = 0
     endangered_tokens: int = 0
 
 
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -151,8 +151,8 @@
         Prompt tokens that an engine of the service prefills per second.
     token_seconds
         Mean seconds per decoded token, for engines that have not reported.
-    allowed_token_seconds
-        Most seconds per token for a stream on time, 0 for no limit.
+    longest_pause
+        Most seconds between events for a stream on time, 0 for no limit.
     event_tokens
         Tokens in one event of a stream.
     """
@@ -164,7 +164,7 @@
     objective: float = 0
     prompt_rate: float = PROMPT_TOKENS_PER_SECOND
     token_seconds: float = TOKEN_SECONDS
-    allowed_token_seconds: float = 0
+    longest_pause: float = 0
     event_tokens: int = 1
 
     @property
@@ -266,7 +266,7 @@
     Streams without a second event have no pauses.
     """
     if context.tokens.answer <= context.event_tokens or not is_pause_exceeded(
-        state.prefill_token_seconds, context.allowed_token_seconds
+        state.prefill_pause, context.longest_pause
     ):
         return 0
     return seconds / (seconds + _UNDISTURBED_SECONDS)
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -56,7 +56,7 @@
 # that failed together do not retry together.
 _RETRY_AFTER_SECONDS = 0.5
 _RETRY_JITTER_SECONDS = 0.5
-_MICROSECONDS_PER_SECOND = 1e6
+_MS_PER_SECOND = 1000
 # Of a call's marks; the last ones identify the whole request.
 _MAX_LOGGED_MARKS = 8
 # A moved call may be sent for this long to an engine that is seen to leave.
@@ -441,7 +441,6 @@
     def _announce(
         self, call: DirectCall, reservation: Reservation, tokens: ReservedTokens
     ) -> None:
-        allowed = self._allowed_token_seconds(call)
         self._deps.announce(
             reservation.backend,
             wire.CallPlaced(
@@ -449,16 +448,10 @@
                 unread_tokens=tokens.prompt if reservation.reads_prompt else 0,
                 whole_tokens=tokens.total,
                 answer_tokens=tokens.answer,
-                allowed_token_micros=int(allowed * _MICROSECONDS_PER_SECOND),
+                longest_pause_ms=int(call.route.longest_pause * _MS_PER_SECOND),
             ),
         )
 
-    def _allowed_token_seconds(self, call: DirectCall) -> float:
-        """Return the longest time per token for a stream on time, 0 for any."""
-        traits = self.engine_traits(call.service)
-        event_tokens = traits.event_tokens if traits else 1
-        return call.route.longest_pause / event_tokens
-
     def _count_bytes(self, call: DirectCall, reservation: Reservation) -> None:
         domain = reservation.backend.record.failure_domain
         place = 'same' if domain == self._rules.failure_domain else 'other'
@@ -525,7 +518,7 @@
             objective=call.route.objective,
             prompt_rate=self._prompt_rate(call.service).tokens_per_second,
             token_seconds=self._deps.backends.token_seconds(call.service),
-            allowed_token_seconds=self._allowed_token_seconds(call),
+            longest_pause=call.route.longest_pause,
             event_tokens=traits.event_tokens if traits else 1,
         )
 
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -46,7 +46,7 @@
 _MAX_ASKED_FOR_CHANGES = 2
 # Entries repeat several times a second that an engine is to be stopped.
 _RETIRED_SECONDS = 2.0
-_MICROSECONDS_PER_SECOND = 1e6
+_MS_PER_SECOND = 1000
 # Reported while the engine does not answer, so that it gets no new calls.
 _UNREACHABLE_STATE = EngineState(leaving=True)
 
@@ -274,7 +274,7 @@
         self._pauses.add(
             message.attempt,
             message.answer_tokens,
-            message.allowed_token_micros / _MICROSECONDS_PER_SECOND,
+            message.longest_pause_ms / _MS_PER_SECOND,
         )
         if not message.unread_tokens:
             # A moved generation that continues here is already counted.
@@ -315,7 +315,7 @@
             token_seconds=self._token_time.seconds,
             freed_per_second=self._memory_release.tokens_per_second,
             waited=self._waiting.longest_wait(started_at),
-            prefill_token_seconds=self._pauses.delaying_token_seconds,
+            prefill_pause=self._pauses.delaying_pause,
             endangered_tokens=self._pauses.endangered_tokens,
         )
         self._reports.record_boot(reading.boot)
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -70,18 +70,18 @@
     """
     Tokens of the expected answer.
     """
-    allowed_token_micros: (
+    longest_pause_ms: (
         Annotated[
             int,
             Meta(
-                description='Longest time per token for a stream on time, in microseconds; 0 for no limit.',
+                description='Longest pause between events for a stream on time, in milliseconds; 0 for no limit.',
                 ge=0,
             ),
         ]
         | UnsetType
     ) = 0
     """
-    Longest time per token for a stream on time, in microseconds; 0 for no limit.
+    Longest pause between events for a stream on time, in milliseconds; 0 for no limit.
     """
 
 
@@ -459,18 +459,18 @@
     """
     Start of the engine; 0 if it is that of an earlier report on the link, or not known.
     """
-    prefill_token_micros: (
+    prefill_pause_ms: (
         Annotated[
             int,
             Meta(
-                description='Expected time per token while a prompt is prefilled, in microseconds; 0 if it would delay no stream.',
+                description='Expected time between events while a prompt is prefilled, in milliseconds; 0 if it would delay no stream.',
                 ge=0,
             ),
         ]
         | UnsetType
     ) = 0
     """
-    Expected time per token while a prompt is prefilled, in microseconds; 0 if it would delay no stream.
+    Expected time between events while a prompt is prefilled, in milliseconds; 0 if it would delay no stream.
     """
     endangered_tokens: (
         Annotated[
--- a/primrosewood/pauses.py
+++ b/primrosewood/pauses.py
@@ -13,11 +13,13 @@
 
 __all__ = ('StreamPauses', 'is_pause_exceeded')
 
-# Time per token while a prompt is prefilled, as a multiple of the time without,
+# Time per event while a prompt is prefilled, as a multiple of the time without,
 # assumed until both were observed.
 _PREFILL_SLOWDOWN = 2.5
-# Tokens that the assumption counts for.
-_ASSUMED_TOKENS = 8
+# Events that the assumption counts for.
+_ASSUMED_EVENTS = 2
+# Events before which the time per event is too uncertain to be used.
+_MIN_EVENTS = 3
 # Weight of earlier samples at each new one; there are 20 samples a second.
 _DECAY = 0.975
 # Estimated pauses above this share of the allowed one count as too long.
@@ -25,17 +27,17 @@
 _MAX_TRACKED = 1024
 
 
-def is_pause_exceeded(token_seconds: float, allowed: float) -> bool:
-    """Return whether a time per token risks pauses that are too long.
+def is_pause_exceeded(pause: float, allowed: float) -> bool:
+    """Return whether an expected pause risks to be too long.
 
     Parameters
     ----------
-    token_seconds
-        Expected seconds per token, 0 if unknown.
+    pause
+        Expected seconds between two events, 0 if unknown.
     allowed
-        Most seconds per token for a stream on time, 0 for no limit.
+        Most seconds for a stream on time, 0 for no limit.
     """
-    return 0 < allowed * _SAFE_SHARE < token_seconds
+    return 0 < allowed * _SAFE_SHARE < pause
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,19 +47,21 @@
 
 
 class _Pace:
-    """Decaying mean of the time per token."""
+    """Decaying mean of the time per event."""
 
     def __init__(self) -> None:
         self.seconds: float = 0
-        self.tokens: float = 0
+        self.events: float = 0
 
-    def observe(self, seconds: float, tokens: int) -> None:
+    def observe(self, seconds: float, events: int) -> None:
         self.seconds = self.seconds * _DECAY + seconds
-        self.tokens = self.tokens * _DECAY + tokens
+        self.events = self.events * _DECAY + events
 
     @property
     def mean(self) -> float:
-        return self.seconds / self.tokens if self.tokens else 0
+        if self.events < _MIN_EVENTS:
+            return 0
+        return self.seconds / self.events
 
 
 class StreamPauses:
@@ -74,19 +78,19 @@
         self._observed_at: float = 0
 
     @property
-    def prefill_token_seconds(self) -> float:
-        """Seconds per token while a prompt is prefilled, 0 if unknown."""
+    def prefill_pause(self) -> float:
+        """Seconds per event while a prompt is prefilled, 0 if unknown."""
         assumed = self._undisturbed.mean * _PREFILL_SLOWDOWN
         if not assumed:
             return self._prefilling.mean
-        seconds = self._prefilling.seconds + assumed * _ASSUMED_TOKENS
-        return seconds / (self._prefilling.tokens + _ASSUMED_TOKENS)
+        seconds = self._prefilling.seconds + assumed * _ASSUMED_EVENTS
+        return seconds / (self._prefilling.events + _ASSUMED_EVENTS)
 
     @property
-    def delaying_token_seconds(self) -> float:
+    def delaying_pause(self) -> float:
         """The same, 0 unless it would delay one of the streams seen so far."""
-        seconds = self.prefill_token_seconds
-        return seconds if is_pause_exceeded(seconds, self._strictest) else 0
+        pause = self.prefill_pause
+        return pause if is_pause_exceeded(pause, self._strictest) else 0
 
     @property
     def endangered_tokens(self) -> int:
@@ -94,11 +98,11 @@
 
         Streams that have already been delayed cannot become late once more.
         """
-        token_seconds = self.prefill_token_seconds
+        pause = self.prefill_pause
         return sum(
             stream.answer_tokens
             for stream in self._streams.values()
-            if is_pause_exceeded(token_seconds, stream.allowed)
+            if is_pause_exceeded(pause, stream.allowed)
         )
 
     def add(self, name: str, answer_tokens: int, allowed: float) -> None:
@@ -111,7 +115,7 @@
         answer_tokens
             Expected length of the answer.
         allowed
-            Most seconds per token for a stream on time, 0 for no limit.
+            Most seconds between its events, 0 for no limit.
         """
         if not allowed:
             return
@@ -134,25 +138,25 @@
         now
             When the sample was taken, in monotonic seconds.
         """
-        tokens = {run.name: run.tokens for run in runs}
-        staying = [name for name in tokens if name in self._previous]
-        for ended in self._previous.keys() - tokens.keys():
+        events = {run.name: run.events for run in runs}
+        staying = [name for name in events if name in self._previous]
+        for ended in self._previous.keys() - events.keys():
             self._streams.pop(ended, None)
         prefilling = unread_tokens > 0
         if staying and prefilling == self._was_prefilling:
             pace = self._prefilling if prefilling else self._undisturbed
             gained = sum(
-                tokens[name] - self._previous[name] for name in staying
+                events[name] - self._previous[name] for name in staying
             )
             pace.observe((now - self._observed_at) * len(staying), gained)
         if prefilling and self._was_prefilling:
             self._forget_delayed(staying)
-        self._previous, self._observed_at = tokens, now
+        self._previous, self._observed_at = events, now
         self._was_prefilling = prefilling
 
     def _forget_delayed(self, names: Sequence[str]) -> None:
-        token_seconds = self.prefill_token_seconds
+        pause = self.prefill_pause
         for name in names:
             stream = self._streams.get(name)
-            if stream and is_pause_exceeded(token_seconds, stream.allowed):
+            if stream and is_pause_exceeded(pause, stream.allowed):
                 self._streams.pop(name)
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -5,14 +5,12 @@
 """
 
 import re
-from collections.abc import Iterable
 from typing import Annotated, Any, Literal
 
 import msgspec
 
 from ..backendstate import BackendRecord
 from ..errors import WireError
-from ..logs import log_event
 from ..priorities import PriorityTable
 from ..rollouts import RolloutOrder, RolloutState, RolloutStatus
 from ..routes import (
@@ -24,6 +22,7 @@
     ServiceTraits,
     Target,
 )
+from .prioritydocuments import read_priorities
 
 __all__ = (
     'BACKENDS_PREFIX',
@@ -108,7 +107,7 @@
 
 class _Tenant(msgspec.Struct):
     name: NonEmptyText
-    # Takes precedence over the priority of a route.
+    # Takes precedence over that of a route, which decides between equals.
     priority: Any = None
     api_keys: list[str] = []
 
@@ -190,8 +189,8 @@
             table.limits.header_timeout_ms / _MS_PER_SECOND,
         ),
         priorities=PriorityTable(
-            routes=_read_priorities(table.routes),
-            organisations=_read_priorities(tenants or ()),
+            routes=read_priorities(table.routes),
+            organisations=read_priorities(tenants or ()),
         ),
         keys_required=tenants is not msgspec.UNSET,
     )
@@ -288,25 +287,6 @@
     return stored
 
 
-def _is_priority(found: Any) -> bool:
-    # JSON's true and false are integers to Python.
-    is_number = isinstance(found, int) and not isinstance(found, bool)
-    return is_number and found >= 0
-
-
-def _read_priorities(rows: Iterable[_Route | _Tenant]) -> dict[str, int]:
-    """Return the valid priorities by name; a wrong one counts for none."""
-    priorities: dict[str, int] = {}
-    for row in rows:
-        if _is_priority(row.priority):
-            priorities[row.name] = row.priority
-        elif row.priority is not None:
-            log_event(
-                'priority_ignored', 'WARNING', name=row.name, why=row.priority
-            )
-    return priorities
-
-
 def _to_route(route: _Route) -> Route:
     targets = [Target(share.service, share.weight) for share in route.split]
     return Route(
--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -212,7 +212,7 @@
                 else arrived + timeout_seconds
             ),
             size=headers.parse_size(raw_headers) if route.streaming else None,
-            priority=table.priorities.find(route.name, organisation),
+            priority=table.priorities.find_rank(route.name, organisation),
             marks=read_marks(request, raw_headers, body, self._mark_key),
         )
 
--- a/primrosewood/routes.py
+++ b/primrosewood/routes.py
@@ -160,7 +160,7 @@
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceTraits] = field(default_factory=dict)
     organisations: Mapping[str, str] = field(default_factory=dict)
-    priorities: PriorityTable = PriorityTable()
+    priorities: PriorityTable = field(default_factory=PriorityTable)
     limits: CallerLimits = CallerLimits()
     keys_required: bool = True
 
