--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -122,12 +122,11 @@
     waited
         Seconds for which the first of the waiting generations has waited for
         its first event.
-    prefill_pause
-        Seconds between events while a prompt is prefilled, 0 if that is
-        unknown or would delay no stream.
+    delays_streams
+        Whether a prompt makes a stream pause for too long.
     endangered_tokens
-        Expected answer tokens of the streams that would pause too long while
-        a prompt is prefilled.
+        Sizes of the streams that a further prompt would make pause for too
+        long, in answer tokens.
     """
 
     running: int = 0
@@ -141,7 +140,7 @@
     queued_tokens: int = 0
     freed_per_second: float = 0
     waited: float = 0
-    prefill_pause: float = 0
+    delays_streams: bool = False
     endangered_tokens: int = 0
 
 
@@ -245,6 +244,20 @@
         reported = self.state.unread_tokens + self.unreported_prompts
         return max(self.unread_tokens, reported)
 
+    @property
+    def reserved_tokens(self) -> int:
+        """Tokens of all calls that run or wait at the engine.
+
+        The engine's last report includes the calls of other entries; this
+        entry's later calls are added to it.  This entry's own calls count in
+        any case.
+        """
+        state = self.state
+        if state is None or not state.total_tokens:
+            return self.open_tokens
+        reported = state.used_tokens + state.queued_tokens
+        return max(self.open_tokens, reported + self.unreported_tokens)
+
     def seconds_until_call(self, now: float) -> float:
         """Return the seconds until it takes a call again, 0 for now."""
         return max(
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -8,7 +8,6 @@
 from .clock import RandomSource
 from .directcalls import BackendAttempt
 from .enginespeed import PROMPT_TOKENS_PER_SECOND, TOKEN_SECONDS
-from .pauses import is_pause_exceeded
 
 __all__ = (
     'Balancer',
@@ -151,8 +150,6 @@
         Prompt tokens that an engine of the service prefills per second.
     token_seconds
         Mean seconds per decoded token, for engines that have not reported.
-    longest_pause
-        Most seconds between events for a stream on time, 0 for no limit.
     event_tokens
         Tokens in one event of a stream.
     """
@@ -164,7 +161,6 @@
     objective: float = 0
     prompt_rate: float = PROMPT_TOKENS_PER_SECOND
     token_seconds: float = TOKEN_SECONDS
-    longest_pause: float = 0
     event_tokens: int = 1
 
     @property
@@ -265,8 +261,9 @@
 
     Streams without a second event have no pauses.
     """
-    if context.tokens.answer <= context.event_tokens or not is_pause_exceeded(
-        state.prefill_pause, context.longest_pause
+    if (
+        not state.delays_streams
+        or context.tokens.answer <= context.event_tokens
     ):
         return 0
     return seconds / (seconds + _UNDISTURBED_SECONDS)
@@ -301,7 +298,7 @@
         return 0
     # Memory is allotted for the prompt when a generation begins, and grows
     # with its answer.
-    missing = _reserved_tokens(backend) + context.tokens.prompt
+    missing = backend.reserved_tokens + context.tokens.prompt
     missing -= state.total_tokens
     token_seconds = state.token_seconds or context.token_seconds
     rate = max(
@@ -311,23 +308,9 @@
     return max(0, missing) / rate
 
 
-def _reserved_tokens(backend: Backend) -> int:
-    """Return the tokens of all calls that run or wait at an engine.
-
-    The engine's last report includes the calls of other entries; this entry's
-    later calls are added to it.  This entry's own calls count in any case.
-    """
-    state = backend.state
-    if state is None or not state.total_tokens:
-        return backend.open_tokens
-    reported = state.used_tokens + state.queued_tokens
-    return max(backend.open_tokens, reported + backend.unreported_tokens)
-
-
 def _memory_share(backend: Backend, context: PlacementContext) -> float:
     """Return the share of memory that would be in use with the call."""
     total = context.memory_tokens
     if backend.state is not None and backend.state.total_tokens:
         total = backend.state.total_tokens
-    reserved_tokens = _reserved_tokens(backend)
-    return (reserved_tokens + context.tokens.total) / max(1, total)
+    return (backend.reserved_tokens + context.tokens.total) / max(1, total)
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -46,6 +46,7 @@
 from .rolloutcontrol import RolloutControl
 from .routes import EngineTraits, TableHolder
 from .sharedlimits import ColdRule
+from .urgentroom import UrgentRoom, has_room
 
 __all__ = ('CallPlacement', 'PlacementDependencies', 'RelayRules')
 
@@ -57,6 +58,8 @@
 _RETRY_AFTER_SECONDS = 0.5
 _RETRY_JITTER_SECONDS = 0.5
 _MS_PER_SECOND = 1000
+# A call that waits for room looks for it about this often.
+_ROOM_INTERVAL_SECONDS = 0.05
 # Of a call's marks; the last ones identify the whole request.
 _MAX_LOGGED_MARKS = 8
 # A moved call may be sent for this long to an engine that is seen to leave.
@@ -102,6 +105,8 @@
     ----------
     announce
         Announces a call to the endpoint process beside its engine.
+    urgent_room
+        Room that calls leave for more urgent ones.
     rollouts
         Restricts calls to back ends of a version that is rolled out, None for
         no restrictions.
@@ -130,6 +135,7 @@
     clock: Clock
     metrics: Metrics
     lengths: LengthPredictor = field(default_factory=LengthPredictor)
+    urgent_room: UrgentRoom = field(default_factory=UrgentRoom)
     rollouts: RolloutControl | None = None
     announce: Callable[[Backend, wire.CallPlaced], None] = _announce_nothing
     count_call: Callable[[Backend], None] = _count_nothing
@@ -184,6 +190,47 @@
         """Count a caller's request towards the retry budget."""
         self._budgets.record_request(call.service, self._now())
 
+    async def wait_for_room(self, progress: CallProgress) -> None:
+        """Hold a call back while engines have room for more urgent ones only.
+
+        It waits as long as it can still be on time.
+        """
+        call = progress.call
+        room = self._deps.urgent_room
+        room.record_call(call)
+        started_at = self._now()
+        now = started_at
+        while room.must_wait(
+            call, self._candidates.list_available(call.service, (), now), now
+        ):
+            await asyncio.sleep(self._draw_room_interval())
+            now = self._now()
+        if now > started_at:
+            self._deps.metrics.record('held_back', now - started_at)
+            log_decision(
+                'held_back',
+                request=call.name,
+                route=call.route.name,
+                organisation=call.organisation,
+                priority=call.priority,
+                kept_free=room.tokens_kept_free(call, now),
+                seconds=now - started_at,
+                left=call.deadline - now,
+            )
+
+    def choose_rank(self, call: DirectCall, backend: Backend) -> int | None:
+        """Return the rank with which a call is sent, None for no rank.
+
+        Without room it would take the memory of less urgent generations, so
+        that it queues among them.
+        """
+        if call.priority is None or call.size is None:
+            return call.priority
+        if has_room(backend, call.size.prompt_tokens):
+            return call.priority
+        table = self._deps.tables.table
+        return table.priorities.last_rank if table else call.priority
+
     def choose(self, progress: CallProgress) -> Backend:
         """Return the back end that gets a call.
 
@@ -430,6 +477,10 @@
         overdue = last_call_at is not None and self._now() > last_call_at
         return overdue or _left_before(backend, call)
 
+    def _draw_room_interval(self) -> float:
+        # Entries that wait for the same engine must not all find it at once.
+        return _ROOM_INTERVAL_SECONDS * (0.5 + self._deps.random.random())
+
     def _require_harmless(self, progress: CallProgress) -> None:
         guard = self._deps.guard
         seconds = guard and guard.refuse_for(progress.call)
@@ -518,7 +569,6 @@
             objective=call.route.objective,
             prompt_rate=self._prompt_rate(call.service).tokens_per_second,
             token_seconds=self._deps.backends.token_seconds(call.service),
-            longest_pause=call.route.longest_pause,
             event_tokens=traits.event_tokens if traits else 1,
         )
 
--- a/primrosewood/directcalls.py
+++ b/primrosewood/directcalls.py
@@ -140,11 +140,15 @@
     after_event
         Number of the last event sent to the caller from an earlier
         generation, after which a new one continues; None from the beginning.
+    rank
+        Rank that the engine is told, 0 for the most urgent calls; None for no
+        rank.
     """
 
     backend: Backend
     resumption: Resumption | None = None
     after_event: int | None = None
+    rank: int | None = None
 
 
 class BackendReply(Protocol):
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -47,6 +47,8 @@
 # Entries repeat several times a second that an engine is to be stopped.
 _RETIRED_SECONDS = 2.0
 _MS_PER_SECOND = 1000
+# Prompt tokens that an engine processes in the time of one answer token.
+_PROMPT_TOKENS_PER_ANSWER_TOKEN = 10
 # Reported while the engine does not answer, so that it gets no new calls.
 _UNREACHABLE_STATE = EngineState(leaving=True)
 
@@ -273,7 +275,7 @@
         )
         self._pauses.add(
             message.attempt,
-            message.answer_tokens,
+            _count_size(message),
             message.longest_pause_ms / _MS_PER_SECOND,
         )
         if not message.unread_tokens:
@@ -315,7 +317,7 @@
             token_seconds=self._token_time.seconds,
             freed_per_second=self._memory_release.tokens_per_second,
             waited=self._waiting.longest_wait(started_at),
-            prefill_pause=self._pauses.delaying_pause,
+            delays_streams=self._pauses.any_delayed,
             endangered_tokens=self._pauses.endangered_tokens,
         )
         self._reports.record_boot(reading.boot)
@@ -343,3 +345,11 @@
         if force or self._reports.is_due(report, now):
             self._reports.record_sent(report, now)
             self._broadcast(report)
+
+
+def _count_size(placed: wire.CallPlaced) -> int:
+    """Return the size of a generation in answer tokens."""
+    prompt_tokens = max(0, placed.whole_tokens - placed.answer_tokens)
+    return (
+        placed.answer_tokens + prompt_tokens // _PROMPT_TOKENS_PER_ANSWER_TOKEN
+    )
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -122,7 +122,7 @@
             freed_per_second=int(state.freed_per_second),
             waited_ms=int(state.waited * _MS_PER_SECOND),
             boot=self._boot if self._must_state_boot(now) else 0,
-            prefill_pause_ms=int(state.prefill_pause * _MS_PER_SECOND),
+            delays_streams=state.delays_streams,
             endangered_tokens=state.endangered_tokens,
         )
 
@@ -184,7 +184,7 @@
         queued_tokens=report.queued_tokens,
         freed_per_second=report.freed_per_second,
         waited=report.waited_ms / _MS_PER_SECOND,
-        prefill_pause=report.prefill_pause_ms / _MS_PER_SECOND,
+        delays_streams=report.delays_streams,
         endangered_tokens=report.endangered_tokens,
     )
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -459,31 +459,30 @@
     """
     Start of the engine; 0 if it is that of an earlier report on the link, or not known.
     """
-    prefill_pause_ms: (
+    delays_streams: (
         Annotated[
-            int,
+            bool,
             Meta(
-                description='Expected time between events while a prompt is prefilled, in milliseconds; 0 if it would delay no stream.',
-                ge=0,
+                description='Whether a prompt delays the streams with the strictest limit on pauses.'
             ),
         ]
         | UnsetType
-    ) = 0
+    ) = False
     """
-    Expected time between events while a prompt is prefilled, in milliseconds; 0 if it would delay no stream.
+    Whether a prompt delays the streams with the strictest limit on pauses.
     """
     endangered_tokens: (
         Annotated[
             int,
             Meta(
-                description='Expected answer tokens of the streams that would pause too long while a prompt is prefilled.',
+                description='Sizes of the streams that a further prompt would delay beyond their limit, in answer tokens.',
                 ge=0,
             ),
         ]
         | UnsetType
     ) = 0
     """
-    Expected answer tokens of the streams that would pause too long while a prompt is prefilled.
+    Sizes of the streams that a further prompt would delay beyond their limit, in answer tokens.
     """
 
 
--- a/primrosewood/pauses.py
+++ b/primrosewood/pauses.py
@@ -2,16 +2,17 @@
 
 An engine prefills prompts in chunks between the tokens of its generations, so
 that the events of a stream come less often as long as a prompt is prefilled.
-On a slow engine every prompt makes all of its streams late.
+On a slow engine, or in a moment in which an engine is slow, a prompt makes all
+of its streams late.
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from .moves import EngineRun
 
-__all__ = ('StreamPauses', 'is_pause_exceeded')
+__all__ = ('StreamPauses',)
 
 # Time per event while a prompt is prefilled, as a multiple of the time without,
 # assumed until both were observed.
@@ -22,44 +23,37 @@
 _MIN_EVENTS = 3
 # Weight of earlier samples at each new one; there are 20 samples a second.
 _DECAY = 0.975
+# The same for the pace of the last 0.2 s.
+_RECENT_DECAY = 0.75
 # Estimated pauses above this share of the allowed one count as too long.
 _SAFE_SHARE = 0.9
 _MAX_TRACKED = 1024
 
 
-def is_pause_exceeded(pause: float, allowed: float) -> bool:
-    """Return whether an expected pause risks to be too long.
-
-    Parameters
-    ----------
-    pause
-        Expected seconds between two events, 0 if unknown.
-    allowed
-        Most seconds for a stream on time, 0 for no limit.
-    """
-    return 0 < allowed * _SAFE_SHARE < pause
-
-
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _TrackedStream:
-    answer_tokens: int
+    size: int
     allowed: float
+    events: int = 0
+    event_at: float = float('inf')
 
 
 class _Pace:
     """Decaying mean of the time per event."""
 
-    def __init__(self) -> None:
+    def __init__(self, decay: float, min_events: int) -> None:
         self.seconds: float = 0
         self.events: float = 0
+        self._decay = decay
+        self._min_events = min_events
 
     def observe(self, seconds: float, events: int) -> None:
-        self.seconds = self.seconds * _DECAY + seconds
-        self.events = self.events * _DECAY + events
+        self.seconds = self.seconds * self._decay + seconds
+        self.events = self.events * self._decay + events
 
     @property
     def mean(self) -> float:
-        if self.events < _MIN_EVENTS:
+        if self.events < self._min_events:
             return 0
         return self.seconds / self.events
 
@@ -71,8 +65,10 @@
         """Start without streams and samples."""
         self._strictest = float('inf')
         self._streams: OrderedDict[str, _TrackedStream] = OrderedDict()
-        self._undisturbed = _Pace()
-        self._prefilling = _Pace()
+        self._undisturbed = _Pace(_DECAY, _MIN_EVENTS)
+        # As it is or would be with a prompt in prefill.
+        self._recent = _Pace(_RECENT_DECAY, 1)
+        self._prefilling = _Pace(_DECAY, _MIN_EVENTS)
         self._previous: dict[str, int] = {}
         self._was_prefilling = False
         self._observed_at: float = 0
@@ -87,40 +83,38 @@
         return seconds / (self._prefilling.events + _ASSUMED_EVENTS)
 
     @property
-    def delaying_pause(self) -> float:
-        """The same, 0 unless it would delay one of the streams seen so far."""
-        pause = self.prefill_pause
-        return pause if is_pause_exceeded(pause, self._strictest) else 0
+    def any_delayed(self) -> bool:
+        """Whether a prompt delays streams with the strictest limit now."""
+        return self._is_delayed(self._strictest)
 
     @property
     def endangered_tokens(self) -> int:
-        """Expected answer tokens of the streams that a prompt would delay.
+        """Sizes of the streams that a prompt would delay beyond their limit.
 
         Streams that have already been delayed cannot become late once more.
         """
-        pause = self.prefill_pause
         return sum(
-            stream.answer_tokens
+            stream.size
             for stream in self._streams.values()
-            if is_pause_exceeded(pause, stream.allowed)
+            if self._is_delayed(stream.allowed)
         )
 
-    def add(self, name: str, answer_tokens: int, allowed: float) -> None:
+    def add(self, name: str, size: int, allowed: float) -> None:
         """Record a stream that is being sent to the engine.
 
         Parameters
         ----------
         name
             Name of the call.
-        answer_tokens
-            Expected length of the answer.
+        size
+            Work that is lost if it is late, in answer tokens.
         allowed
             Most seconds between its events, 0 for no limit.
         """
         if not allowed:
             return
         self._strictest = min(self._strictest, allowed)
-        self._streams[name] = _TrackedStream(answer_tokens, allowed)
+        self._streams[name] = _TrackedStream(size, allowed)
         if len(self._streams) > _MAX_TRACKED:
             self._streams.popitem(last=False)
 
@@ -144,19 +138,36 @@
             self._streams.pop(ended, None)
         prefilling = unread_tokens > 0
         if staying and prefilling == self._was_prefilling:
-            pace = self._prefilling if prefilling else self._undisturbed
             gained = sum(
                 events[name] - self._previous[name] for name in staying
             )
-            pace.observe((now - self._observed_at) * len(staying), gained)
-        if prefilling and self._was_prefilling:
-            self._forget_delayed(staying)
+            elapsed = (now - self._observed_at) * len(staying)
+            self._observe_pace(elapsed, gained, prefilling)
+        self._forget_delayed(events, now)
         self._previous, self._observed_at = events, now
         self._was_prefilling = prefilling
 
-    def _forget_delayed(self, names: Sequence[str]) -> None:
-        pause = self.prefill_pause
-        for name in names:
+    def _observe_pace(
+        self, seconds: float, events: int, prefilling: bool
+    ) -> None:
+        if prefilling:
+            self._prefilling.observe(seconds, events)
+            self._recent.observe(seconds, events)
+        else:
+            self._undisturbed.observe(seconds, events)
+            self._recent.observe(seconds * _PREFILL_SLOWDOWN, events)
+
+    def _is_delayed(self, allowed: float) -> bool:
+        """Return whether a prompt delays streams beyond a limit now."""
+        pause = max(self.prefill_pause, self._recent.mean)
+        return pause > _SAFE_SHARE * allowed
+
+    def _forget_delayed(self, events: Mapping[str, int], now: float) -> None:
+        for name, count in events.items():
             stream = self._streams.get(name)
-            if stream and is_pause_exceeded(pause, stream.allowed):
+            if stream is None:
+                continue
+            if count > stream.events:
+                stream.events, stream.event_at = count, now
+            elif now > stream.event_at + stream.allowed:
                 self._streams.pop(name)
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -285,9 +285,9 @@
         request_headers[headers.EXPECTED_BACKEND] = backend_attempt.backend.name
         if call.organisation:
             request_headers[headers.ORGANISATION] = call.organisation
-        if self.sends_priorities and call.priority is not None:
+        if self.sends_priorities and backend_attempt.rank is not None:
             request_headers[headers.PRIORITY] = str(
-                min(call.priority, headers.LOWEST_PRIORITY)
+                min(backend_attempt.rank, headers.LOWEST_PRIORITY)
             )
         if backend_attempt.after_event is not None:
             request_headers[headers.LAST_EVENT_ID] = str(
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -41,6 +41,7 @@
     make_entry_count,
     make_history,
     make_rules,
+    make_urgent_room,
     sends_priorities,
 )
 from .store import PlatformStore
@@ -145,6 +146,7 @@
             report_available=self._discovery.record_store_result,
             entries=self._entries,
         )
+        self._urgent_room = make_urgent_room(settings)
         self._stop_window = make_stop_window(settings)
         self._frontend = self._make_frontend()
         self._peers = PeerServer(
@@ -189,7 +191,8 @@
     def reload(self, settings: NodeSettings) -> None:
         """Apply the limits of reloaded settings."""
         self._placement.update_rules(make_rules(settings))
-        self._transport.sends_priorities = sends_priorities(settings)
+        self._urgent_room.enabled = sends_priorities(settings)
+        self._transport.sends_priorities = self._urgent_room.enabled
         self._stop_window.seconds = make_stop_window(settings).seconds
 
     def _make_rollouts(self) -> RolloutControl:
@@ -218,6 +221,7 @@
                 random=random,
                 clock=self._clock,
                 metrics=self._metrics,
+                urgent_room=self._urgent_room,
                 rollouts=self._rollouts,
                 announce=self._engines.announce_call,
                 count_call=self._limits.record_call,
--- a/primrosewood/platform/rules.py
+++ b/primrosewood/platform/rules.py
@@ -7,11 +7,13 @@
 from ..repeatbudget import RepeatRule
 from ..retryhistory import RetryHistory
 from ..sharedlimits import ColdRule
+from ..urgentroom import UrgentRoom
 
 __all__ = (
     'make_entry_count',
     'make_history',
     'make_rules',
+    'make_urgent_room',
     'sends_priorities',
 )
 
@@ -40,6 +42,11 @@
     return settings.priorities or _MEMORY_PRESSURE in settings.agreements
 
 
+def make_urgent_room(settings: NodeSettings) -> UrgentRoom:
+    """Return the room that calls leave, none where priorities do not count."""
+    return UrgentRoom(enabled=sends_priorities(settings))
+
+
 def make_rules(settings: NodeSettings) -> RelayRules:
     """Return the limits that the settings state."""
     limits = settings.limits
--- a/primrosewood/priorities.py
+++ b/primrosewood/priorities.py
@@ -37,6 +37,11 @@
             return None
         return self._ranks[_make_key(own, of_route)]
 
+    @property
+    def last_rank(self) -> int | None:
+        """Rank of the least urgent calls, None if nothing has a priority."""
+        return len(self._ranks) - 1 if self._ranks else None
+
     @cached_property
     def _ranks(self) -> dict[tuple[int, int], int]:
         keys = {
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -203,6 +203,7 @@
     async def _answer_stream(
         self, progress: CallProgress, sink: AnswerSink
     ) -> None:
+        await self._placement.wait_for_room(progress)
         backend_attempt: BackendAttempt | None = self._choose_attempt(progress)
         while backend_attempt is not None:
             with self._deps.notices.follow(
@@ -304,7 +305,11 @@
 
     def _choose_attempt(self, progress: CallProgress) -> BackendAttempt:
         backend = self._placement.choose(progress)
-        return BackendAttempt(backend, after_event=progress.order.last)
+        return BackendAttempt(
+            backend,
+            after_event=progress.order.last,
+            rank=self._placement.choose_rank(progress.call, backend),
+        )
 
     def _retry_refused(
         self,
@@ -352,6 +357,7 @@
         return BackendAttempt(
             backend,
             Resumption(notice.source, notice.copy.handle, last_event),
+            rank=progress.call.priority,
         )
 
     def _restart_generation(
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -76,7 +76,7 @@
     def on_rate_limit(self, _backend, rate, _sent_at):
         self.rate_limits.append(rate)
 
-    async def fetch(self, address, resumption=None, **fields):
+    async def fetch(self, address, resumption=None, rank=None, **fields):
         record = BackendRecord('i-1', 's', address, 'd1', 8)
         backend = self.backend = Backend(record, ColdLimit(EntryCount(1)))
         now = SystemClock().monotonic()
@@ -97,7 +97,7 @@
             },
         )
         async with self.transport.send(
-            call, BackendAttempt(backend, resumption)
+            call, BackendAttempt(backend, resumption, rank=rank)
         ) as reply:
             return b''.join([part async for part in reply.parts()])
 
@@ -116,7 +116,7 @@
             with self.subTest(sends=sends, priority=priority):
                 self.transport.sends_priorities = sends
                 address = await self.serve(COMPLETE_RESPONSE)
-                await self.fetch(address, priority=priority)
+                await self.fetch(address, rank=priority)
                 head = self.received[-1].lower()
                 if sent:
                     self.assertIn(sent, head)
