--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -122,11 +122,6 @@
     waited
         Seconds for which the first of the waiting generations has waited for
         its first event.
-    delays_streams
-        Whether a prompt makes a stream pause for too long.
-    endangered_tokens
-        Sizes of the streams that a further prompt would make pause for too
-        long, in answer tokens.
     """
 
     running: int = 0
@@ -140,8 +135,6 @@
     queued_tokens: int = 0
     freed_per_second: float = 0
     waited: float = 0
-    delays_streams: bool = False
-    endangered_tokens: int = 0
 
 
 @dataclass(slots=True, eq=False)
--- a/primrosewood/balancing.py
+++ b/primrosewood/balancing.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from .backendstate import Backend, EngineState
+from .backendstate import Backend
 from .clock import RandomSource
 from .directcalls import BackendAttempt
 from .enginespeed import PROMPT_TOKENS_PER_SECOND, TOKEN_SECONDS
@@ -46,9 +46,6 @@
 # Risk that a generation on a full engine is cut when that engine leaves: the
 # notice period is long enough to copy only part of its memory.
 _LEAVE_RISK = 0.15
-# Time for which a stream that a prompt would delay runs without one, in the
-# mean, as other entries avoid its engine.
-_UNDISTURBED_SECONDS = 3.0
 # Part of a full engine's memory that is assumed to become free each second if
 # it has not reported any generation that ended.
 _FREED_SHARE = 0.1
@@ -150,8 +147,6 @@
         Prompt tokens that an engine of the service prefills per second.
     token_seconds
         Mean seconds per decoded token, for engines that have not reported.
-    event_tokens
-        Tokens in one event of a stream.
     """
 
     failure_domain: str
@@ -161,7 +156,6 @@
     objective: float = 0
     prompt_rate: float = PROMPT_TOKENS_PER_SECOND
     token_seconds: float = TOKEN_SECONDS
-    event_tokens: int = 1
 
     @property
     def prompt_seconds(self) -> float:
@@ -240,10 +234,6 @@
     added_delay = _DELAYED_SHARE * generating * context.prompt_seconds
     risk = _late_risk(first_event_seconds, context.objective)
     risk += _memory_risk(_memory_share(backend, context))
-    if state is not None:
-        risk += _pause_risk(state, context, tokens.answer * token_seconds)
-        endangered_seconds = state.endangered_tokens * token_seconds
-        added_delay += _LOSS_WEIGHT * endangered_seconds
     return answer_seconds * (1 + _LOSS_WEIGHT * risk) + added_delay
 
 
@@ -254,21 +244,6 @@
     return (first_event_seconds / objective) ** _LATE_EXPONENT
 
 
-def _pause_risk(
-    state: EngineState, context: PlacementContext, seconds: float
-) -> float:
-    """Return the risk that a later prompt delays a stream of some seconds.
-
-    Streams without a second event have no pauses.
-    """
-    if (
-        not state.delays_streams
-        or context.tokens.answer <= context.event_tokens
-    ):
-        return 0
-    return seconds / (seconds + _UNDISTURBED_SECONDS)
-
-
 def _memory_risk(share: float) -> float:
     """Return the risk of a preemption, or of a cut when the engine leaves."""
     excess = max(0, share - _CROWDED_SHARE) / (_FULL_SHARE - _CROWDED_SHARE)
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -57,7 +57,6 @@
 # that failed together do not retry together.
 _RETRY_AFTER_SECONDS = 0.5
 _RETRY_JITTER_SECONDS = 0.5
-_MS_PER_SECOND = 1000
 # A call that waits for room looks for it about this often.
 _ROOM_INTERVAL_SECONDS = 0.05
 # Of a call's marks; the last ones identify the whole request.
@@ -85,7 +84,9 @@
     cold: ColdRule = ColdRule()
 
 
-def _announce_nothing(_backend: Backend, _placed: wire.CallPlaced) -> None:
+def _announce_nothing(
+    _backend: Backend, _name: str, _prompt_tokens: int, _total_tokens: int
+) -> None:
     """Ignore an announcement; the default of `announce`."""
 
 
@@ -104,7 +105,9 @@
     Attributes
     ----------
     announce
-        Announces a call to the endpoint process beside its engine.
+        Announces a call to the endpoint process beside its engine: the back
+        end, the call's name, its prompt tokens to prefill and its expected
+        total tokens.
     urgent_room
         Room that calls leave for more urgent ones.
     rollouts
@@ -137,7 +140,7 @@
     lengths: LengthPredictor = field(default_factory=LengthPredictor)
     urgent_room: UrgentRoom = field(default_factory=UrgentRoom)
     rollouts: RolloutControl | None = None
-    announce: Callable[[Backend, wire.CallPlaced], None] = _announce_nothing
+    announce: Callable[[Backend, str, int, int], None] = _announce_nothing
     count_call: Callable[[Backend], None] = _count_nothing
     started_at: float = float('-inf')
     guard: CrashGuard | None = None
@@ -193,18 +196,18 @@
     async def wait_for_room(self, progress: CallProgress) -> None:
         """Hold a call back while engines have room for more urgent ones only.
 
-        It waits as long as it can still be on time.
+        Once it will be late it waits a little longer, for room that those on
+        time leave, and then goes on in any case.
         """
-        call = progress.call
         room = self._deps.urgent_room
+        if not room.enabled:
+            return
+        call = progress.call
         room.record_call(call)
         started_at = self._now()
-        now = started_at
-        while room.must_wait(
-            call, self._candidates.list_available(call.service, (), now), now
-        ):
+        while room.must_wait(call, self._list_available(call), self._now()):
             await asyncio.sleep(self._draw_room_interval())
-            now = self._now()
+        now = self._now()
         if now > started_at:
             self._deps.metrics.record('held_back', now - started_at)
             log_decision(
@@ -250,9 +253,6 @@
         context = self._make_context(call, now)
         chosen = self._deps.balancer.choose(candidates, context)
         expected = self._check_first_event(progress, chosen, context)
-        endangered = chosen.state.endangered_tokens if chosen.state else 0
-        if endangered:
-            self._deps.metrics.count('prompts_beside_slow_streams')
         log_decision(
             'sent',
             request=call.name,
@@ -267,7 +267,6 @@
             marks='+'.join(call.marks[-_MAX_LOGGED_MARKS:]) or None,
             open=chosen.open_calls,
             expected=expected,
-            endangered=endangered or None,
             report_age=chosen.report_age(now),
             limit=chosen.call_limit.rate,
             left=call.deadline - now,
@@ -379,7 +378,10 @@
         tokens = self._expected_tokens(call)
         reservation = Reservation(backend_attempt, tokens)
         if tokens is not None:
-            self._announce(call, reservation, tokens)
+            unread = tokens.prompt if reservation.reads_prompt else 0
+            self._deps.announce(
+                backend_attempt.backend, call.name, unread, tokens.total
+            )
         try:
             yield reservation
         except (
@@ -477,6 +479,9 @@
         overdue = last_call_at is not None and self._now() > last_call_at
         return overdue or _left_before(backend, call)
 
+    def _list_available(self, call: DirectCall) -> Sequence[Backend]:
+        return self._candidates.list_available(call.service, (), self._now())
+
     def _draw_room_interval(self) -> float:
         # Entries that wait for the same engine must not all find it at once.
         return _ROOM_INTERVAL_SECONDS * (0.5 + self._deps.random.random())
@@ -489,20 +494,6 @@
                 progress, ErrorKind.crashes_endpoints, retry_seconds=seconds
             )
 
-    def _announce(
-        self, call: DirectCall, reservation: Reservation, tokens: ReservedTokens
-    ) -> None:
-        self._deps.announce(
-            reservation.backend,
-            wire.CallPlaced(
-                attempt=call.name,
-                unread_tokens=tokens.prompt if reservation.reads_prompt else 0,
-                whole_tokens=tokens.total,
-                answer_tokens=tokens.answer,
-                longest_pause_ms=int(call.route.longest_pause * _MS_PER_SECOND),
-            ),
-        )
-
     def _count_bytes(self, call: DirectCall, reservation: Reservation) -> None:
         domain = reservation.backend.record.failure_domain
         place = 'same' if domain == self._rules.failure_domain else 'other'
@@ -569,7 +560,6 @@
             objective=call.route.objective,
             prompt_rate=self._prompt_rate(call.service).tokens_per_second,
             token_seconds=self._deps.backends.token_seconds(call.service),
-            event_tokens=traits.event_tokens if traits else 1,
         )
 
     def _prompt_rate(self, service: str) -> PromptRateEstimator:
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -22,7 +22,6 @@
 from .logs import log_decision, log_event
 from .metrics import Metrics
 from .movableengine import EngineLocation, EngineReading, MovableEngine
-from .pauses import StreamPauses
 from .peerlink import PeerServer
 from .timers import wait_until_set
 from .waitingcalls import WaitingCalls
@@ -46,9 +45,6 @@
 _MAX_ASKED_FOR_CHANGES = 2
 # Entries repeat several times a second that an engine is to be stopped.
 _RETIRED_SECONDS = 2.0
-_MS_PER_SECOND = 1000
-# Prompt tokens that an engine processes in the time of one answer token.
-_PROMPT_TOKENS_PER_ANSWER_TOKEN = 10
 # Reported while the engine does not answer, so that it gets no new calls.
 _UNREACHABLE_STATE = EngineState(leaving=True)
 
@@ -90,7 +86,6 @@
         self._token_time = TokenTimeEstimator()
         self._memory_release = MemoryReleaseEstimator()
         self._waiting = WaitingCalls()
-        self._pauses = StreamPauses()
         self._batch_timer: asyncio.TimerHandle | None = None
         self._reading: EngineReading | None = None
         self._engine_reachable = asyncio.Event()
@@ -264,7 +259,6 @@
         self._token_time = TokenTimeEstimator()
         self._memory_release = MemoryReleaseEstimator()
         self._waiting = WaitingCalls()
-        self._pauses = StreamPauses()
         self._reports.record_state(_UNREACHABLE_STATE, self._clock.monotonic())
         # Without a report entries would assume that this process is lost.
         self._send_report_if_due()
@@ -273,11 +267,6 @@
         self._mover.record_expected_tokens(
             message.attempt, message.whole_tokens
         )
-        self._pauses.add(
-            message.attempt,
-            _count_size(message),
-            message.longest_pause_ms / _MS_PER_SECOND,
-        )
         if not message.unread_tokens:
             # A moved generation that continues here is already counted.
             return
@@ -309,16 +298,11 @@
         waiting = reading.state.running + reading.state.queued
         waiting -= len(reading.runs)
         self._waiting.update(reading.runs, waiting, started_at)
-        self._pauses.observe(
-            reading.runs, reading.state.unread_tokens, started_at
-        )
         state = replace(
             reading.state,
             token_seconds=self._token_time.seconds,
             freed_per_second=self._memory_release.tokens_per_second,
             waited=self._waiting.longest_wait(started_at),
-            delays_streams=self._pauses.any_delayed,
-            endangered_tokens=self._pauses.endangered_tokens,
         )
         self._reports.record_boot(reading.boot)
         self._reports.record_state(state, started_at)
@@ -345,11 +329,3 @@
         if force or self._reports.is_due(report, now):
             self._reports.record_sent(report, now)
             self._broadcast(report)
-
-
-def _count_size(placed: wire.CallPlaced) -> int:
-    """Return the size of a generation in answer tokens."""
-    prompt_tokens = max(0, placed.whole_tokens - placed.answer_tokens)
-    return (
-        placed.answer_tokens + prompt_tokens // _PROMPT_TOKENS_PER_ANSWER_TOKEN
-    )
--- a/primrosewood/enginereports.py
+++ b/primrosewood/enginereports.py
@@ -23,7 +23,7 @@
 _MAX_HEARTBEAT_SECONDS = 1.0
 # Control traffic that a node may send, and the size of one report in a frame.
 _MAX_BYTES_PER_SECOND = 4000
-_REPORT_BYTES = 30
+_REPORT_BYTES = 28
 # Reports that may be sent in a burst after a quiet time, and the debt that
 # reports of a higher load may run up.
 _BURST_REPORTS = 12
@@ -122,8 +122,6 @@
             freed_per_second=int(state.freed_per_second),
             waited_ms=int(state.waited * _MS_PER_SECOND),
             boot=self._boot if self._must_state_boot(now) else 0,
-            delays_streams=state.delays_streams,
-            endangered_tokens=state.endangered_tokens,
         )
 
     def is_due(self, report: wire.EngineReport, now: float) -> bool:
@@ -184,8 +182,6 @@
         queued_tokens=report.queued_tokens,
         freed_per_second=report.freed_per_second,
         waited=report.waited_ms / _MS_PER_SECOND,
-        delays_streams=report.delays_streams,
-        endangered_tokens=report.endangered_tokens,
     )
 
 
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -223,11 +223,25 @@
         nobody_to_tell = not links or not self._any_reported
         return nobody_to_tell or not all(map(_is_silent, links))
 
-    def announce_call(self, backend: Backend, placed: wire.CallPlaced) -> None:
-        """Announce a call to the endpoint process of its engine."""
+    def announce_call(
+        self, backend: Backend, name: str, unread_tokens: int, whole_tokens: int
+    ) -> None:
+        """Announce a call to the endpoint process of its engine.
+
+        Parameters
+        ----------
+        backend
+            The engine.
+        name
+            Name of the call.
+        unread_tokens
+            Tokens for which the engine still has to run prefill.
+        whole_tokens
+            Tokens of the prompt and the expected answer together.
+        """
         link = self._links.get(backend.record.address)
         if link is not None:
-            link.send(placed)
+            link.send(wire.CallPlaced(name, unread_tokens, whole_tokens))
 
     def retire(self, backend: Backend, seconds: float) -> None:
         """Tell the endpoint process of an engine to move its generations away.
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -63,26 +63,6 @@
     """
     Tokens of the prompt and of the expected answer.
     """
-    answer_tokens: (
-        Annotated[int, Meta(description='Tokens of the expected answer.', ge=0)]
-        | UnsetType
-    ) = 0
-    """
-    Tokens of the expected answer.
-    """
-    longest_pause_ms: (
-        Annotated[
-            int,
-            Meta(
-                description='Longest pause between events for a stream on time, in milliseconds; 0 for no limit.',
-                ge=0,
-            ),
-        ]
-        | UnsetType
-    ) = 0
-    """
-    Longest pause between events for a stream on time, in milliseconds; 0 for no limit.
-    """
 
 
 class Cancel(Struct, array_like=True):
@@ -459,31 +439,6 @@
     """
     Start of the engine; 0 if it is that of an earlier report on the link, or not known.
     """
-    delays_streams: (
-        Annotated[
-            bool,
-            Meta(
-                description='Whether a prompt delays the streams with the strictest limit on pauses.'
-            ),
-        ]
-        | UnsetType
-    ) = False
-    """
-    Whether a prompt delays the streams with the strictest limit on pauses.
-    """
-    endangered_tokens: (
-        Annotated[
-            int,
-            Meta(
-                description='Sizes of the streams that a further prompt would delay beyond their limit, in answer tokens.',
-                ge=0,
-            ),
-        ]
-        | UnsetType
-    ) = 0
-    """
-    Sizes of the streams that a further prompt would delay beyond their limit, in answer tokens.
-    """
 
 
 class EngineRetired(Struct, array_like=True):
