Send held calls as the entry stops, and refuse them where no engine is

Found by reading: a call was held back while no engine took calls at all, though it could be refused at once, and one that was held as the stop of its entry began could be cut by its end. Tests over the relay: a held call goes on once there is room, at a stop, without reports, and never after its caller left.

--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -183,7 +183,7 @@
         async with self._peers.listen(*split_address(settings.entry.peers)):
             try:
                 await stop.wait()
-                self._stop_window.begin(self._clock.monotonic())
+                self._begin_stop()
                 await drain(caller_server, self._frontend)
             finally:
                 await self._close(tasks, servers)
@@ -195,6 +195,11 @@
         self._transport.sends_priorities = self._urgent_room.enabled
         self._stop_window.seconds = make_stop_window(settings).seconds
 
+    def _begin_stop(self) -> None:
+        # What is held back begins now, to end before this process.
+        self._urgent_room.enabled = False
+        self._stop_window.begin(self._clock.monotonic())
+
     def _make_rollouts(self) -> RolloutControl:
         return RolloutControl(
             RolloutDependencies(
--- a/primrosewood/urgentroom.py
+++ b/primrosewood/urgentroom.py
@@ -5,7 +5,7 @@
 anew.  Neither happens while the less urgent ones leave room.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from .backendstate import Backend
 from .directcalls import DirectCall
@@ -72,13 +72,18 @@
         return max(0, min(waits_until, call.deadline) - now)
 
     def must_wait(
-        self, call: DirectCall, engines: Iterable[Backend], now: float
+        self, call: DirectCall, engines: Collection[Backend], now: float
     ) -> bool:
-        """Return whether a call is held back, as no engine has room for it."""
+        """Return whether a call is held back, as no engine has room for it.
+
+        Without any engine it is not, so that it is refused at once.
+        """
+        if call.size is None or not engines:
+            return False
         kept_free = self.tokens_kept_free(call, now)
         if not kept_free or not self.seconds_to_wait(call, now):
             return False
-        needed = call.size.prompt_tokens + kept_free if call.size else 0
+        needed = call.size.prompt_tokens + kept_free
         return not any(has_room(engine, needed) for engine in engines)
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,11 @@
 from unittest import mock
 
 from primrosewood.backendset import BackendSet
-from primrosewood.backendstate import BackendIdentity, BackendRecord
+from primrosewood.backendstate import (
+    BackendIdentity,
+    BackendRecord,
+    EngineState,
+)
 from primrosewood.backpressure import AnswerNotice
 from primrosewood.balancing import LeastCostBalancer
 from primrosewood.callplacement import (
@@ -42,6 +46,7 @@
     TableHolder,
     Target,
 )
+from primrosewood.urgentroom import UrgentRoom
 
 REFUSED = NotRunError(ErrorKind.overloaded)
 UNREACHABLE = UnreachableError(ErrorKind.no_endpoint)
@@ -134,7 +139,7 @@
         self.entries = entries
         self.make_relay()
 
-    def make_relay(self, guard=None):
+    def make_relay(self, guard=None, urgent_room=None):
         self.placement = CallPlacement(
             PlacementDependencies(
                 rules=RelayRules('d1'),
@@ -142,6 +147,7 @@
                 backends=self.backends,
                 entries=self.entries,
                 guard=guard,
+                urgent_room=urgent_room or UrgentRoom(),
                 balancer=LeastCostBalancer(random.Random(1)),
                 random=random.Random(1),
                 clock=self.clock,
@@ -188,6 +194,70 @@
         return caught.exception.kind
 
 
+class HeldBackTest(_RelayTestCase):
+    """Streams that wait until engines have room beyond that for urgent ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.room = UrgentRoom(enabled=True)
+        self.make_relay(urgent_room=self.room)
+        self.call = replace(self.make_call(RouteKind.streaming), priority=1)
+        # Objectives in tests are short; this one allows to wait for 3 s.
+        route = replace(self.call.route, objective=2)
+        self.call = replace(self.call, route=route)
+        self.room.record_call(replace(self.call, priority=0))
+        self.fill_engines(29_500)
+
+    def fill_engines(self, used_tokens):
+        for backend in self.backends.list_service('s'):
+            state = EngineState(used_tokens=used_tokens, total_tokens=30_000)
+            backend.update_state(state, self.clock.monotonic())
+
+    async def start(self):
+        """Let the call wait; return its task."""
+        answering = asyncio.ensure_future(
+            self.answer(self.call, ScriptedReply(make_event(1)))
+        )
+        await asyncio.sleep(0.15)
+        self.assertFalse(self.transport.backend_attempts)
+        return answering
+
+    async def test_it_is_sent_once_there_is_room(self):
+        answering = await self.start()
+        self.fill_engines(1_000)
+        await answering
+        self.assertEqual(make_event(1), self.sink.body)
+        self.assertEqual(1, self.transport.backend_attempts[0].rank)
+
+    async def test_it_is_sent_as_the_process_stops(self):
+        """Guards against calls that are held until the process has ended."""
+        answering = await self.start()
+        self.room.enabled = False
+        await answering
+        self.assertEqual(make_event(1), self.sink.body)
+
+    async def test_it_is_not_sent_after_its_caller_has_left(self):
+        """Guards against generations for callers that no longer wait."""
+        answering = await self.start()
+        answering.cancel()
+        self.fill_engines(1_000)
+        await asyncio.sleep(0.15)
+        self.assertFalse(self.transport.backend_attempts)
+
+    async def test_it_is_sent_without_reports(self):
+        """Guards against calls that wait for processes that are gone."""
+        answering = await self.start()
+        for backend in self.backends.list_service('s'):
+            backend.drop_stale_state(self.clock.monotonic() + 10)
+        await answering
+        self.assertEqual(make_event(1), self.sink.body)
+
+    async def test_urgent_call_is_sent_at_once(self):
+        self.call = replace(self.call, priority=0)
+        await self.answer(self.call, ScriptedReply(make_event(1)))
+        self.assertEqual(make_event(1), self.sink.body)
+
+
 class WholeAnswerTest(_RelayTestCase):
     """Calls to plain services, whose answers are buffered."""
 
--- a/tests/test_urgentroom.py
+++ b/tests/test_urgentroom.py
@@ -104,6 +104,10 @@
         engines = make_engines(make_state(26_000))
         self.assertFalse(self.room.must_wait(make_call('draft'), engines, 0))
 
+    def test_no_engine_takes_calls(self):
+        """Guards against calls that wait though they cannot be served."""
+        self.assertFalse(self.room.must_wait(make_call('draft'), [], 0))
+
     def test_engine_whose_reports_are_missing(self):
         """Guards against calls that wait for the process beside an engine."""
         (engine,) = make_engines(make_state(26_000))
