--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -191,8 +191,11 @@
     def reload(self, settings: NodeSettings) -> None:
         """Apply the limits of reloaded settings."""
         self._placement.update_rules(make_rules(settings))
-        self._urgent_room.enabled = sends_priorities(settings)
-        self._transport.sends_priorities = self._urgent_room.enabled
+        has_priorities = sends_priorities(settings)
+        self._transport.sends_priorities = has_priorities
+        self._urgent_room.enabled = (
+            has_priorities and not self._stop_window.begun
+        )
         self._stop_window.seconds = make_stop_window(settings).seconds
 
     def _begin_stop(self) -> None:
--- a/primrosewood/urgentroom.py
+++ b/primrosewood/urgentroom.py
@@ -66,11 +66,6 @@
             kept_free += self._prompts.get((call.service, call.priority), 0)
         return int(kept_free)
 
-    def seconds_to_wait(self, call: DirectCall, now: float) -> float:
-        """Return how long a call may still wait for room, 0 for no longer."""
-        waits_until = call.arrived + call.route.objective * _LONGEST_WAIT
-        return max(0, min(waits_until, call.deadline) - now)
-
     def must_wait(
         self, call: DirectCall, engines: Collection[Backend], now: float
     ) -> bool:
@@ -80,18 +75,23 @@
         """
         if call.size is None or not engines:
             return False
+        waits_until = call.arrived + call.route.objective * _LONGEST_WAIT
         kept_free = self.tokens_kept_free(call, now)
-        if not kept_free or not self.seconds_to_wait(call, now):
+        if not kept_free or now >= min(waits_until, call.deadline):
             return False
         needed = call.size.prompt_tokens + kept_free
         return not any(has_room(engine, needed) for engine in engines)
 
 
 def has_room(engine: Backend, tokens: int) -> bool:
-    """Return whether an engine has memory free and nobody waits for it."""
+    """Return whether an engine has memory free and nobody waits for it.
+
+    An empty engine has room for anything that it can hold at all.
+    """
     state = engine.state
     if state is None or not state.total_tokens:
         return True
     if state.queued_tokens:
         return False
-    return engine.reserved_tokens + tokens <= state.total_tokens
+    free_tokens = state.total_tokens - engine.reserved_tokens
+    return min(tokens, state.total_tokens) <= free_tokens
--- a/tests/test_urgentroom.py
+++ b/tests/test_urgentroom.py
@@ -6,6 +6,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from primrosewood.backendset import BackendSet
 from primrosewood.backendstate import BackendRecord, EngineState
@@ -108,6 +109,12 @@
         """Guards against calls that wait though they cannot be served."""
         self.assertFalse(self.room.must_wait(make_call('draft'), [], 0))
 
+    def test_empty_engine_has_room_for_a_large_prompt(self):
+        """Guards against calls that wait for more memory than there is."""
+        draft = replace(make_call('draft'), size=GenerationSize(25_000, 700))
+        engines = make_engines(make_state(0))
+        self.assertFalse(self.room.must_wait(draft, engines, 0))
+
     def test_engine_whose_reports_are_missing(self):
         """Guards against calls that wait for the process beside an engine."""
         (engine,) = make_engines(make_state(26_000))
