Leave priorities off unless the settings ask for them

Change: only `priorities` in an entry's settings turns it on; the agreements of the platform are not read, and templates and test fleets are as they were.

--- a/primrosewood/gen_node.py
+++ b/primrosewood/gen_node.py
@@ -133,27 +133,17 @@
     """
     Ignored. Settings of older builds have it.
     """
-    agreements: (
-        Annotated[
-            list[str],
-            Meta(
-                description="Parts of the platform's protocol that are in force in this deployment."
-            ),
-        ]
-        | UnsetType
-    ) = field(default_factory=list)
-    """
-    Parts of the platform's protocol that are in force in this deployment.
-    """
     priorities: (
         Annotated[
             bool,
-            Meta(description='Whether engines are told the priority of each call.'),
+            Meta(
+                description='Whether the priorities of organisations and routes order generations.'
+            ),
         ]
         | UnsetType
     ) = False
     """
-    Whether engines are told the priority of each call.
+    Whether the priorities of organisations and routes order generations.
     """
     seeds: (
         Annotated[
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -42,7 +42,6 @@
     make_history,
     make_rules,
     make_urgent_room,
-    sends_priorities,
 )
 from .store import PlatformStore
 
@@ -101,7 +100,7 @@
         self._transport = HttpTransport(
             self._clock,
             self._limits.record_answer,
-            sends_priorities(settings),
+            settings.priorities,
         )
         self._discovery = Discovery(
             self._tables,
@@ -191,10 +190,9 @@
     def reload(self, settings: NodeSettings) -> None:
         """Apply the limits of reloaded settings."""
         self._placement.update_rules(make_rules(settings))
-        has_priorities = sends_priorities(settings)
-        self._transport.sends_priorities = has_priorities
+        self._transport.sends_priorities = settings.priorities
         self._urgent_room.enabled = (
-            has_priorities and not self._stop_window.begun
+            settings.priorities and not self._stop_window.begun
         )
         self._stop_window.seconds = make_stop_window(settings).seconds
 
--- a/primrosewood/platform/rules.py
+++ b/primrosewood/platform/rules.py
@@ -14,11 +14,8 @@
     'make_history',
     'make_rules',
     'make_urgent_room',
-    'sends_priorities',
 )
 
-# Agreement of the platform by which engines run out of memory.
-_MEMORY_PRESSURE = 'pressure'
 # Number of entries assumed until it is known.
 _ASSUMED_ENTRIES = 8
 
@@ -34,17 +31,9 @@
     return RetryHistory(clock, repeats.retry_seconds)
 
 
-def sends_priorities(settings: NodeSettings) -> bool:
-    """Return whether engines are told the priorities of calls.
-
-    Where engines run out of memory, priorities decide whose generation goes on.
-    """
-    return settings.priorities or _MEMORY_PRESSURE in settings.agreements
-
-
 def make_urgent_room(settings: NodeSettings) -> UrgentRoom:
     """Return the room that calls leave, none where priorities do not count."""
-    return UrgentRoom(enabled=sends_priorities(settings))
+    return UrgentRoom(enabled=settings.priorities)
 
 
 def make_rules(settings: NodeSettings) -> RelayRules:
