Log how answers are framed, and the order that stops a moved run

Cause: no line told how an answer ended, and none of the order that stops a run, so that the hypotheses on streams cut by a move could not be told apart.

Change: 'answered' and 'connection_cut' state the framing (length, chunks or close); the process beside an engine logs 'stop_ordered' and 'stop_answered' with the time that the answer took. No decision changes.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -637,6 +637,7 @@
                 endpoint=backend.name,
                 boot=backend.record.boot,
                 head=progress.head_received or None,
+                framing=progress.framing,
                 last_event=progress.order.last,
                 stopping=backend.stopping or None,
                 seconds=self._now() - sent_at,
--- a/primrosewood/callprogress.py
+++ b/primrosewood/callprogress.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from .directcalls import DirectCall
+from .directcalls import AnswerFraming, DirectCall
 from .events import StreamOrder
 from .unreadsends import UnreadSend
 
@@ -33,6 +33,8 @@
         Whether part of the answer was sent to the caller.
     head_received
         Whether the last back end has begun a successful answer.
+    framing
+        What marks the end of the answer of the last back end.
     survived_events
         Events of its answer as it was last recorded how far that has come.
     first_event
@@ -54,6 +56,7 @@
     order: StreamOrder = field(default_factory=StreamOrder)
     answer_begun: bool = False
     head_received: bool = False
+    framing: AnswerFraming | None = None
     survived_events: int = 0
     first_event: float | None = None
     longest_pause: float = 0
--- a/primrosewood/directcalls.py
+++ b/primrosewood/directcalls.py
@@ -3,12 +3,14 @@
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from .backendstate import Backend
 from .routes import Route
 
 __all__ = (
+    'AnswerFraming',
     'AnswerHead',
     'AnswerSink',
     'BackendAttempt',
@@ -23,6 +25,15 @@
 Header = tuple[str, str]
 
 
+class AnswerFraming(StrEnum):
+    """What marks the end of an answer's body."""
+
+    length = 'length'
+    chunks = 'chunks'
+    # The end of the connection, after a body of unknown length.
+    close = 'close'
+
+
 @dataclass(frozen=True, slots=True)
 class GenerationSize:
     """Size of a generation in tokens, as its caller declares it.
@@ -162,6 +173,10 @@
     def headers(self) -> tuple[Header, ...]:
         """Headers to forward to the caller."""
 
+    @property
+    def framing(self) -> AnswerFraming:
+        """What marks the end of the body."""
+
     def parts(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they are received.
 
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -228,7 +228,7 @@
         takes_calls = await self._still_takes_calls(target)
         if self._stopping or not takes_calls:
             raise NotRunError(ErrorKind.leaving)
-        handle = await self._engine.copy(run, target.address, last=True)
+        handle = await self._order_stop(run, target)
         copy_seconds = self._clock.monotonic() - started
         self._mean_copy_seconds += (
             copy_seconds - self._mean_copy_seconds
@@ -236,6 +236,27 @@
         self._metrics.record('move', copy_seconds)
         return handle
 
+    async def _order_stop(self, run: EngineRun, target: MoveTarget) -> str:
+        """Stop a generation and return the handle of its last copy."""
+        log_decision('stop_ordered', request=run.name, target=target.address)
+        ordered_at = self._clock.monotonic()
+        answer = 'none'
+        try:
+            handle = await self._engine.copy(run, target.address, last=True)
+            answer = 'copied'
+        except (NotRunError, BackendCutError) as error:
+            answer = str(error) or type(error).__name__
+            raise
+        finally:
+            log_decision(
+                'stop_answered',
+                request=run.name,
+                target=target.address,
+                answer=answer,
+                seconds=self._clock.monotonic() - ordered_at,
+            )
+        return handle
+
     async def _still_takes_calls(self, target: MoveTarget) -> bool:
         """Return whether an entry says that an engine takes calls."""
         identity = target.identity
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -19,7 +19,7 @@
     read_limited,
 )
 from ..clock import Clock
-from ..directcalls import BackendAttempt, DirectCall, Header
+from ..directcalls import AnswerFraming, BackendAttempt, DirectCall, Header
 from ..errors import (
     BackendCutError,
     ErrorKind,
@@ -54,6 +54,9 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
+_STATUSES_WITHOUT_BODY = frozenset(
+    (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+)
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # aiohttp adds these headers where a caller sent none.
 _LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
@@ -137,6 +140,16 @@
             _decode_headers(self._response.raw_headers)
         )
 
+    @property
+    def framing(self) -> AnswerFraming:
+        """What marks the end of the body."""
+        received = self._response.headers
+        if 'chunked' in received.get('Transfer-Encoding', '').lower():
+            return AnswerFraming.chunks
+        if 'Content-Length' in received or self._has_no_body:
+            return AnswerFraming.length
+        return AnswerFraming.close
+
     async def parts(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -153,6 +166,13 @@
         if getattr(self._protocol, 'was_reset', False):
             raise BackendCutError('the answer was reset')
 
+    @property
+    def _has_no_body(self) -> bool:
+        return (
+            self._response.method == 'HEAD'
+            or self._response.status in _STATUSES_WITHOUT_BODY
+        )
+
 
 class HttpTransport:
     """Sends calls to back ends, each over a new connection.
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -196,6 +196,7 @@
             async with self._deps.transport.send(
                 progress.call, backend_attempt
             ) as reply:
+                progress.framing = reply.framing
                 head, body = await held.read(reply)
                 reservation.answer_bytes = len(body)
                 return head, body
@@ -244,6 +245,7 @@
             async with self._deps.transport.send(
                 call, backend_attempt
             ) as reply:
+                progress.framing = reply.framing
                 progress.head_received = reply.status == _STATUS_OK
                 if progress.head_received:
                     await self._forward_events(
@@ -418,6 +420,7 @@
             request=call.name,
             endpoint=backend.name,
             status=status,
+            framing=progress.framing,
             sends=progress.sends,
             last_event=progress.order.last,
             first_event=progress.first_event,
--- a/tests/crashfleet.py
+++ b/tests/crashfleet.py
@@ -19,7 +19,7 @@
     GuardDependencies,
     StoredCrashes,
 )
-from primrosewood.directcalls import DirectCall, GenerationSize
+from primrosewood.directcalls import AnswerFraming, DirectCall, GenerationSize
 from primrosewood.entrycount import EntryCount
 from primrosewood.errors import (
     BackendCutError,
@@ -125,6 +125,7 @@
 class _Reply:
     status = 200
     headers = ()
+    framing = AnswerFraming.chunks
 
     def __init__(self, fleet, engine, call):
         self._fleet = fleet
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -23,7 +23,11 @@
     RelayRules,
 )
 from primrosewood.clock import SystemClock
-from primrosewood.directcalls import DirectCall, GenerationSize
+from primrosewood.directcalls import (
+    AnswerFraming,
+    DirectCall,
+    GenerationSize,
+)
 from primrosewood.entrycount import EntryCount
 from primrosewood.errors import (
     BackendCutError,
@@ -56,7 +60,12 @@
 
 
 class ScriptedReply:
-    """Reply with given parts; an exception among them breaks it off."""
+    """Reply with given parts; an exception among them breaks it off.
+
+    It ends with its connection, which is closed without an error.
+    """
+
+    framing = AnswerFraming.close
 
     def __init__(self, *parts, status=200):
         self.status = status
