--- a/standins/backends.py
+++ b/standins/backends.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from .endings import EndingBackend, EndingWay
+from .unframed import LastMove, LastMoves, UnframedResponse
 
 __all__ = (
     'BORN',
@@ -38,6 +39,7 @@
 _SERVICE_UNAVAILABLE = 503
 _KV_CAPACITY_TOKENS = 30_000
 _PROMPT_TOKENS = 1000
+_LATE_SECONDS = 0.4
 
 
 @dataclass(frozen=True)
@@ -206,6 +208,11 @@
         Number of events in each generation.
     pause
         Seconds between two events.
+    framed
+        Whether streams are sent in chunks and reset where a move stops them;
+        otherwise they end with their connection in both cases.
+    last_moves
+        The moves that stop its generations.
     crashing_part
         Identifier of a part of prompts; the engine crashes as it begins to
         answer a prompt with it.
@@ -219,6 +226,8 @@
         self.leaves_ms: float | None = None
         self.events = 20
         self.pause = 0.02
+        self.framed = True
+        self.last_moves = LastMoves()
         self.crashing_part = ''
         self._copies = copies
         self._runs: dict[str, _Run] = {}
@@ -276,11 +285,26 @@
             return web.Response(status=_NOT_FOUND)
         handle = f'copy-{run.name}'
         self._copies.events[handle] = run.events
+        made = {'cache_handle': handle, 'created': run.events}
         if command['last']:
             run.stopped.set()
-        return web.json_response(
-            {'cache_handle': handle, 'created': run.events}
-        )
+            self.last_moves.stopped.append(run.name)
+            return await self._answer_last_move(request, made)
+        return web.json_response(made)
+
+    async def _answer_last_move(
+        self, request: web.BaseRequest, made: dict
+    ) -> web.Response:
+        match self.last_moves.answer:
+            case LastMove.refused:
+                return web.json_response(made, status=_SERVICE_UNAVAILABLE)
+            case LastMove.lost:
+                request.transport.abort()
+            case LastMove.silent:
+                await asyncio.Event().wait()
+            case LastMove.late:
+                await asyncio.sleep(_LATE_SECONDS)
+        return web.json_response(made)
 
     async def _generate(self, request: web.BaseRequest) -> web.StreamResponse:
         previous_events = 0
@@ -290,8 +314,7 @@
             if self._copies.events.pop(handle, None) is None:
                 return self._refuse()
             previous_events = int(request.headers.get('Last-Event-Id', '0'))
-        response = web.StreamResponse(headers=await self._record_call(request))
-        response.content_type = 'text/event-stream'
+        response = self._make_response(await self._record_call(request))
         if await self.end_for(request, EndingWay.before_head, EndingWay.silent):
             return response
         await response.prepare(request)
@@ -308,11 +331,25 @@
             await self._stream(run, response)
         finally:
             self._runs.pop(run.name, None)
+        if isinstance(response, UnframedResponse):
+            response.close()
+            return web.Response()
         if run.stopped.is_set():
             request.transport.abort()
         return response
 
-    async def _stream(self, run: _Run, response: web.StreamResponse) -> None:
+    def _make_response(
+        self, headers: dict[str, str]
+    ) -> web.StreamResponse | UnframedResponse:
+        if not self.framed:
+            return UnframedResponse(headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_type = 'text/event-stream'
+        return response
+
+    async def _stream(
+        self, run: _Run, response: web.StreamResponse | UnframedResponse
+    ) -> None:
         ending = self.ending
         while run.events < self.events:
             if (
