Stop a moved run only once its entry expects it, and judge ends in one place

What callers saw: where a move stopped the run of a stream without length or chunks, its engine closed the connection and the part that had come was passed on as a complete answer.

Cause: three at once. An end that says nothing was taken for a good one: only errors made the entry look for a move, and a clean close raises none. The entry learned of the order after it had taken effect. And the mover took every other answer than 200 for a run that goes on, and 404 after its own order for one that had ended, so that nobody was told of stopped runs.

Change: AnswerEnds decides for streams and held answers, for every framing. A length or the last chunk is an end. A close from an engine whose runs may be moved is one only if no stop was announced to this entry, or the process beside the engine has taken it back, and the engine still listens. Before it orders a stop that process asks all entries that understand StopQuery; the one that holds the stream confirms, or declines for held answers, which can go on nowhere. Without a confirmation the run goes on and others are moved first. Whatever the answer to the order is, the entries are told: 503 with a handle sends the stream back to its source for 1.2 s, any other failure to the copy before it, and 404 counts as an end only without an earlier order and by the same start of the engine.

Weighed: to ask after each close how the run ended costs a round trip for each stream and has no answer where the process was killed; not to move such runs loses them. The announcement costs a round trip while the run still goes on, and some 60 bytes for each entry and move.

Ruled out: waiting for the notice after each close, as the notice may never come and whole answers would be late.

Tests of the relay whose scripted engines end streams that go on elsewhere now send chunks, as a close next to a notice of a move is no end any more.

--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -63,6 +63,9 @@
 _MAX_LOGGED_MARKS = 8
 # A moved call may be sent for this long to an engine that is seen to leave.
 _LAST_CALLS_SECONDS = 0.5
+# An engine that stopped a generation and kept its memory takes it back for
+# this long; nobody else has all of it.
+_TAKE_BACK_SECONDS = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -409,12 +412,17 @@
         self._deps.lengths.observe(_length_group(progress.call), length)
 
     async def find_resuming(
-        self, progress: CallProgress, copy: MovedCopy
+        self, progress: CallProgress, copy: MovedCopy, at_source: bool = False
     ) -> Backend:
         """Return the back end that resumes a moved call.
 
         Waits while it has asked for a pause, as nobody else has the copy.
 
+        Parameters
+        ----------
+        at_source
+            Whether it is the back end that ran the call before.
+
         Raises
         ------
         RequestFailedError
@@ -424,7 +432,8 @@
         """
         self._require_harmless(progress)
         backend = self._find_holder(progress.call, copy)
-        if backend is None or self._is_gone(backend, progress.call):
+        last_calls = _TAKE_BACK_SECONDS if at_source else _LAST_CALLS_SECONDS
+        if backend is None or self._is_gone(backend, progress.call, last_calls):
             raise self.make_failure(progress, ErrorKind.outcome_unknown)
         backpressure = backend.backpressure
         while not backpressure.allow_exempt_call(self._now()):
@@ -438,7 +447,7 @@
                 seconds=seconds,
             )
             await asyncio.sleep(seconds)
-        if self._is_gone(backend, progress.call):
+        if self._is_gone(backend, progress.call, last_calls):
             raise self.make_failure(progress, ErrorKind.outcome_unknown)
         return backend
 
@@ -468,14 +477,21 @@
             return None
         return backend if backend.record.address == copy.address else None
 
-    def _is_gone(self, backend: Backend, call: DirectCall) -> bool:
+    def _is_gone(
+        self, backend: Backend, call: DirectCall, last_calls: float
+    ) -> bool:
         """Return whether a back end gets no calls, not even a moved one.
 
         A copy may reach an engine just as it begins to leave; for a moment it
         is still better to resume there than to lose the stream.
+
+        Parameters
+        ----------
+        last_calls
+            Seconds for which it still gets moved calls as it leaves.
         """
         since = backend.unusable_since
-        last_call_at = None if since is None else since + _LAST_CALLS_SECONDS
+        last_call_at = None if since is None else since + last_calls
         overdue = last_call_at is not None and self._now() > last_call_at
         return overdue or _left_before(backend, call)
 
--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -65,6 +65,8 @@
         wire.TargetReply: 33,
         wire.RetryReport: 34,
         wire.RetryRecall: 35,
+        wire.StopQuery: 36,
+        wire.StopReply: 37,
     }
 )
 _MESSAGE_TYPES = MappingProxyType(
--- a/primrosewood/directcalls.py
+++ b/primrosewood/directcalls.py
@@ -203,3 +203,6 @@
         BackendCutError
             The connection broke, or the response was no answer to this call.
         """
+
+    async def refuses_connections(self, backend: Backend) -> bool:
+        """Return whether nothing listens at a back end's address any more."""
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -22,7 +22,9 @@
 from .logs import log_decision, log_event
 from .metrics import Metrics
 from .movableengine import EngineLocation, EngineReading, MovableEngine
+from .movequeries import EntryLinks
 from .peerlink import PeerServer
+from .runstops import RunStopper
 from .timers import wait_until_set
 from .waitingcalls import WaitingCalls
 
@@ -72,16 +74,18 @@
         self._engine = engine
         self._location = location
         self._clock = clock
-        self._mover = EngineMover(
-            engine,
-            location,
-            clock,
-            metrics,
-            random,
+        links = EntryLinks(
             broadcast=self._broadcast,
             query_entries=self._send_to_some,
+            announce_stop=self._announce_stop,
             report_copy=self._report_copy,
         )
+        stopper = RunStopper(
+            engine, location, clock, metrics, links, self._get_engine_name
+        )
+        self._mover = EngineMover(
+            engine, location, clock, metrics, random, links, stopper
+        )
         self._reports = EngineReports()
         self._token_time = TokenTimeEstimator()
         self._memory_release = MemoryReleaseEstimator()
@@ -141,7 +145,7 @@
             case wire.EngineFound():
                 # Forwarded, as entries have no links to each other.
                 self._broadcast(message, link)
-            case wire.CapacityReply() | wire.TargetReply():
+            case wire.CapacityReply() | wire.TargetReply() | wire.StopReply():
                 self._mover.handle_reply(message)
             case wire.PairsQuery():
                 self._forward_query(message, link)
@@ -231,6 +235,12 @@
     ) -> None:
         self.server.send_to_some(message, _MAX_ASKED_ENTRIES, exclude=exclude)
 
+    def _get_engine_name(self) -> str:
+        return self.found.name if self.found else ''
+
+    def _announce_stop(self, query: wire.StopQuery) -> None:
+        self.server.announce_stop(query)
+
     async def _identify_engine(self) -> None:
         try:
             name = await self._engine.identify()
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -1,20 +1,31 @@
 """Moves generations off a leaving engine, one at a time."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from . import gen_wire as wire
 from .backendstate import BackendIdentity
 from .clock import Clock, RandomSource
-from .codec import Message
-from .errors import BackendCutError, ErrorKind, NotRunError, WireError
+from .errors import (
+    BackendCutError,
+    ErrorKind,
+    NotRunError,
+    WireError,
+)
 from .expectedends import ExpectedEnds
-from .logs import log_decision, log_event
+from .logs import log_event
 from .metrics import Metrics
 from .movableengine import EngineLocation, EngineReading, MovableEngine
-from .moves import EngineRun, MoveTarget, choose_move_target, plan_moves
+from .movequeries import EntryLinks, TargetReply
+from .moves import (
+    EngineRun,
+    MovedCopy,
+    MoveTarget,
+    choose_move_target,
+    plan_moves,
+)
 from .process import spawn
-from .timers import wait_until_set
+from .runstops import MovePostponedError, RunStopper, runs_no_more
 
 __all__ = ('EngineMover',)
 
@@ -34,13 +45,10 @@
 
     Parameters
     ----------
-    broadcast
-        Sends a message to all entries.
-    query_entries
-        Sends a message to a few entries.
-    report_copy
-        Called with the address of another engine when a copy to it begins, and
-        with an empty one when the copy has ended.
+    links
+        Links to the entries.
+    stopper
+        Stops generations once they were copied.
     """
 
     def __init__(
@@ -50,9 +58,8 @@
         clock: Clock,
         metrics: Metrics,
         random: RandomSource,
-        broadcast: Callable[[Message], None],
-        query_entries: Callable[[Message], None],
-        report_copy: Callable[[str], None],
+        links: EntryLinks,
+        stopper: RunStopper,
     ) -> None:
         """Create a mover that has no reading of the engine yet."""
         self._engine = engine
@@ -60,17 +67,18 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random
-        self._broadcast = broadcast
-        self._query_entries = query_entries
-        self._report_copy = report_copy
+        self._links = links
+        self._stopper = stopper
         self._expected_ends = ExpectedEnds()
         self._mean_copy_seconds = _INITIAL_COPY_SECONDS
         self._reading: EngineReading | None = None
         self._source_boot = 0
         self._capacity_reply: asyncio.Future[list[MoveTarget]] | None = None
-        self._target_reply = _TargetReply()
+        self._target_reply = TargetReply()
         # Names of generations that need no further move.
         self._settled: set[str] = set()
+        # Names of those that may not be stopped yet, or whose stop failed.
+        self._postponed: set[str] = set()
         self._move_task: asyncio.Task | None = None
         self._stopping = False
 
@@ -97,6 +105,8 @@
         """Handle a new reading; start moves when the engine is leaving."""
         if self._reading is None:
             self._settled.clear()
+        if self._source_boot != reading.boot:
+            self._forget_generations()
         self._reading = reading
         self._source_boot = reading.boot
         may_move = not self._stopping and not self.moving
@@ -112,17 +122,27 @@
             return
         for run in self._plan_remaining(self._reading.runs):
             self._settled.add(run.name)
-            self._report_move(run)
+            # One that was ordered to stop may have stopped.
+            if not self._stopper.may_have_stopped(run):
+                self._stopper.report_stay(run, self._source_boot)
         self._reading = None
 
     def handle_reply(
-        self, message: wire.CapacityReply | wire.TargetReply
+        self, message: wire.CapacityReply | wire.TargetReply | wire.StopReply
     ) -> None:
         """Handle an entry's answer to a query of this mover."""
-        if isinstance(message, wire.CapacityReply):
-            self._handle_capacity(message)
-        else:
-            self._target_reply.handle(message)
+        match message:
+            case wire.CapacityReply():
+                self._handle_capacity(message)
+            case wire.TargetReply():
+                self._target_reply.handle(message)
+            case wire.StopReply():
+                self._stopper.handle(message)
+
+    def _forget_generations(self) -> None:
+        self._settled.clear()
+        self._stopper.forget_generations()
+        self._postponed.clear()
 
     def _handle_capacity(self, message: wire.CapacityReply) -> None:
         targets = _read_targets(self._location.service, message)
@@ -174,12 +194,12 @@
         ending = self._expected_ends.within(
             remaining, reading.leaves_in, reading.state.token_seconds
         )
-        return plan_moves(remaining, ending)
+        return plan_moves(remaining, ending, self._postponed)
 
     async def _request_free_capacity(self) -> list[MoveTarget]:
         self._capacity_reply = asyncio.get_running_loop().create_future()
         query = wire.CapacityQuery(self._location.service)
-        self._query_entries(query)
+        self._links.query_entries(query)
         try:
             async with asyncio.timeout(_REPLY_TIMEOUT_SECONDS):
                 return await self._capacity_reply
@@ -206,62 +226,54 @@
         await asyncio.sleep(_RETRY_DELAY_SECONDS)
 
     async def _move_to(self, run: EngineRun, target: MoveTarget) -> bool:
-        """Return whether the generation was moved or is already complete."""
-        self._report_copy(target.address)
+        """Try one target; return False if another one may be tried now."""
+        self._links.report_copy(target.address)
         try:
-            handle = await self._copy(run, target)
+            await self._copy_and_stop(run, target)
+        except MovePostponedError as error:
+            self._log_failure(run, target, error)
+            self._postponed.add(run.name)
         except (NotRunError, BackendCutError) as error:
             self._log_failure(run, target, error)
-            settled = _is_already_complete(error)
-        else:
-            self._report_move(run, target, handle)
-            settled = True
+            if not runs_no_more(error):
+                return False
+            # It may be back soon if it was stopped and resumes here.
+            if not self._stopper.may_have_stopped(run):
+                self._settled.add(run.name)
         finally:
-            self._report_copy('')
-        if settled:
-            self._settled.add(run.name)
-        return settled
+            self._links.report_copy('')
+        if run.name in self._settled:
+            return True
+        await asyncio.sleep(_RETRY_DELAY_SECONDS)
+        return True
 
-    async def _copy(self, run: EngineRun, target: MoveTarget) -> str:
+    async def _copy_and_stop(self, run: EngineRun, target: MoveTarget) -> None:
         started = self._clock.monotonic()
-        await self._engine.copy(run, target.address, last=False)
+        boot = self._source_boot
+        handle = await self._engine.copy(run, target.address, last=False)
         takes_calls = await self._still_takes_calls(target)
         if self._stopping or not takes_calls:
             raise NotRunError(ErrorKind.leaving)
-        handle = await self._order_stop(run, target)
+        if not await self._stopper.ask(run, boot):
+            self._settled.add(run.name)
+            return
+        if self._stopping:
+            self._stopper.report_stay(run, boot)
+            raise NotRunError(ErrorKind.leaving)
+        copy = MovedCopy(handle, target.identity, target.address)
+        await self._stopper.stop(run, copy, boot)
+        self._settled.add(run.name)
         copy_seconds = self._clock.monotonic() - started
         self._mean_copy_seconds += (
             copy_seconds - self._mean_copy_seconds
         ) * _NEWEST_COPY_WEIGHT
         self._metrics.record('move', copy_seconds)
-        return handle
-
-    async def _order_stop(self, run: EngineRun, target: MoveTarget) -> str:
-        """Stop a generation and return the handle of its last copy."""
-        log_decision('stop_ordered', request=run.name, target=target.address)
-        ordered_at = self._clock.monotonic()
-        answer = 'none'
-        try:
-            handle = await self._engine.copy(run, target.address, last=True)
-            answer = 'copied'
-        except (NotRunError, BackendCutError) as error:
-            answer = str(error) or type(error).__name__
-            raise
-        finally:
-            log_decision(
-                'stop_answered',
-                request=run.name,
-                target=target.address,
-                answer=answer,
-                seconds=self._clock.monotonic() - ordered_at,
-            )
-        return handle
 
     async def _still_takes_calls(self, target: MoveTarget) -> bool:
         """Return whether an entry says that an engine takes calls."""
         identity = target.identity
-        self._target_reply = _TargetReply(identity)
-        self._query_entries(
+        self._target_reply = TargetReply(identity)
+        self._links.query_entries(
             wire.TargetQuery(
                 identity.service, target.address, identity.name, identity.boot
             )
@@ -271,35 +283,6 @@
             log_event('no_entry_answered', 'WARNING', target=identity.name)
         return bool(takes_calls)
 
-    def _report_move(
-        self,
-        run: EngineRun,
-        target: MoveTarget | None = None,
-        handle: str = '',
-    ) -> None:
-        """Tell all entries where a generation was moved, or that it was not."""
-        address = target.address if target else ''
-        self._metrics.count('moves', 'moved' if handle else 'stays')
-        log_decision(
-            'moved' if handle else 'not_moved',
-            request=run.name,
-            target=address or None,
-            tokens=run.tokens,
-            events=run.events,
-        )
-        self._broadcast(
-            wire.RunMoved(
-                attempt=run.name,
-                source=self._engine.address,
-                handle=handle,
-                target=address,
-                target_name=target.identity.name if target else '',
-                service=self._location.service,
-                source_boot=self._source_boot,
-                target_boot=target.identity.boot if target else 0,
-            )
-        )
-
     def _log_failure(
         self, run: EngineRun, target: MoveTarget, error: Exception
     ) -> None:
@@ -314,30 +297,6 @@
         )
 
 
-class _TargetReply:
-    """Reply of the first entry that says whether one engine takes calls.
-
-    Replies about other engines, which come late, do not count.
-    """
-
-    def __init__(self, asked: BackendIdentity | None = None) -> None:
-        self._asked = asked
-        self._received = asyncio.Event()
-        self._takes_calls: bool | None = None
-
-    def handle(self, message: wire.TargetReply) -> None:
-        asked = self._asked
-        if asked is None or self._received.is_set():
-            return
-        if (message.name, message.boot) == (asked.name, asked.boot):
-            self._takes_calls = message.takes_calls
-            self._received.set()
-
-    async def wait(self, seconds: float) -> bool | None:
-        await wait_until_set(self._received, seconds)
-        return self._takes_calls
-
-
 def _read_targets(
     service: str, message: wire.CapacityReply
 ) -> list[MoveTarget]:
@@ -359,9 +318,3 @@
             )
         )
     return targets
-
-
-def _is_already_complete(error: Exception) -> bool:
-    """Return whether an error says that the generation is complete."""
-    kind = getattr(error, 'kind', None)
-    return kind is ErrorKind.answer_expired
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -15,7 +15,7 @@
 from .entrycount import EntryCount
 from .errors import WireError
 from .link import Link
-from .logs import log_event
+from .logs import log_decision, log_event
 from .moves import MovedCopy, MoveNotice, MoveNotices
 from .peerlink import PeerConnector, PeerLink
 from .routes import TableHolder
@@ -330,6 +330,8 @@
                 self.register_engine(message)
             case wire.RunMoved():
                 self._notices.post(_read_notice(message))
+            case wire.StopQuery():
+                self._answer_stop_query(message, link)
             case _:
                 self._handle_other(message, link)
 
@@ -343,6 +345,21 @@
             )
         )
 
+    def _answer_stop_query(self, query: wire.StopQuery, link: Link) -> None:
+        """Tell whether a generation may be stopped, if its stream is here."""
+        agrees = self._notices.announce_stop(
+            query.attempt, query.source, query.boot
+        )
+        if agrees is None:
+            return
+        log_decision(
+            'stop_announced',
+            request=query.attempt,
+            source=query.source,
+            agrees=agrees,
+        )
+        link.send(wire.StopReply(query.attempt, query.boot, agrees))
+
     def _takes_calls(self, query: wire.TargetQuery) -> bool:
         try:
             identity = BackendIdentity(query.service, query.name, query.boot)
--- a/primrosewood/errors.py
+++ b/primrosewood/errors.py
@@ -324,6 +324,21 @@
     """A back end wants no calls for some time, so that this one did not run."""
 
 
+class RunStoppedError(NotRunError):
+    """A generation was stopped, and its memory stayed at its engine.
+
+    Parameters
+    ----------
+    handle
+        Under which that engine keeps it.
+    """
+
+    def __init__(self, handle: str, why: str) -> None:
+        """Store the handle."""
+        super().__init__(ErrorKind.overloaded, why)
+        self.handle = handle
+
+
 class UnreachableError(NotRunError):
     """No connection to a back end was made, so that it never saw the call."""
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -521,6 +521,13 @@
     """
     Whether the sender understands RetryRecall and waits for it.
     """
+    confirms_stops: (
+        Annotated[bool, Meta(description='Whether the sender understands StopQuery.')]
+        | UnsetType
+    ) = False
+    """
+    Whether the sender understands StopQuery.
+    """
 
 
 class LimitReport(Struct, array_like=True):
@@ -1048,6 +1055,53 @@
     """
 
 
+class StopQuery(Struct, array_like=True):
+    """
+    A generation is about to be stopped by a move; the entry that holds its stream answers.
+    """
+
+    attempt: Annotated[
+        str, Meta(description="The attempt's name, as the calling entry chose it.")
+    ]
+    """
+    The attempt's name, as the calling entry chose it.
+    """
+    source: Annotated[str, Meta(description='Engine that runs it, as host:port.')]
+    """
+    Engine that runs it, as host:port.
+    """
+    boot: Annotated[int, Meta(description='Its start that runs it.', ge=0)]
+    """
+    Its start that runs it.
+    """
+
+
+class StopReply(Struct, array_like=True):
+    """
+    Answer to StopQuery.
+    """
+
+    attempt: Annotated[str, Meta(description="The attempt's name.")]
+    """
+    The attempt's name.
+    """
+    boot: Annotated[
+        int, Meta(description="The engine's start that was asked about.", ge=0)
+    ]
+    """
+    The engine's start that was asked about.
+    """
+    agrees: Annotated[
+        bool,
+        Meta(
+            description='Whether the generation may be stopped, as its stream can go on elsewhere.'
+        ),
+    ]
+    """
+    Whether the generation may be stopped, as its stream can go on elsewhere.
+    """
+
+
 class StoredPair(Struct, array_like=True):
     """
     A key with its stored value, or its deletion.
--- a/primrosewood/movableengine.py
+++ b/primrosewood/movableengine.py
@@ -67,11 +67,15 @@
 
         Raises
         ------
+        BackendPausedError
+            Nothing was ordered, as the engine has asked for a pause.
+        RunStoppedError
+            The generation was stopped, but could not be copied.
         NotRunError
-            The generation no longer runs here, the target has no free
-            capacity, or the engine has asked for a pause.
+            The generation no longer runs here, or the target has no free
+            capacity.
         BackendCutError
-            The engine does not answer.
+            The engine does not answer; the order may have taken effect.
         """
 
 
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -110,7 +110,9 @@
 
 
 def plan_moves(
-    runs: Sequence[EngineRun], ending: Collection[str] = ()
+    runs: Sequence[EngineRun],
+    ending: Collection[str] = (),
+    postponed: Collection[str] = (),
 ) -> list[EngineRun]:
     """Return the generations in the order in which to move them.
 
@@ -124,9 +126,18 @@
     ending
         Names of generations that are expected to end by themselves before the
         engine is gone; they come last.
+    postponed
+        Names of generations that could not be moved before; they come after
+        all others.
     """
     return sorted(
-        runs, key=lambda run: (run.name in ending, run.tokens, run.name)
+        runs,
+        key=lambda run: (
+            run.name in postponed,
+            run.name in ending,
+            run.tokens,
+            run.name,
+        ),
     )
 
 
@@ -198,7 +209,7 @@
 
     @contextmanager
     def follow(
-        self, name: str, record: BackendRecord
+        self, name: str, record: BackendRecord, may_be_stopped: bool = True
     ) -> Iterator['AwaitedNotice']:
         """Accept the notice of one attempt while it is in progress.
 
@@ -209,9 +220,11 @@
         record
             Engine that the attempt is sent to.  The notices of other engines,
             and of other starts of this one, are not about the attempt.
+        may_be_stopped
+            Whether the answer can go on elsewhere.
         """
         key = (name, record.address, record.boot)
-        awaited = AwaitedNotice()
+        awaited = AwaitedNotice(may_be_stopped)
         self._awaited[key] = awaited
         try:
             yield awaited
@@ -226,22 +239,69 @@
         if awaited is not None and notice.source_boot:
             awaited.receive(notice)
 
+    def announce_stop(
+        self, name: str, source: str, source_boot: int
+    ) -> bool | None:
+        """Tell an attempt that a move is about to stop its generation.
+
+        Returns
+        -------
+        bool | None
+            Whether it may be stopped; None if no attempt is in progress.
+        """
+        awaited = self._awaited.get((name, source, source_boot))
+        if awaited is None or not source_boot:
+            return None
+        return awaited.announce_stop()
+
 
 class AwaitedNotice:
     """The notice that one attempt was moved, if one comes.
 
     It arrives over another connection than the end of the stream that it
-    explains, before or after it.
+    explains, before or after it. Before the generation is stopped, its stop is
+    announced, so that the end of the stream is not taken for its completion.
+
+    Attributes
+    ----------
+    may_be_stopped
+        Whether the answer can go on elsewhere.
+    stop_announced
+        Whether the generation was stopped, or may be stopped at any moment.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, may_be_stopped: bool = True) -> None:
         """Start without a notice."""
+        self.may_be_stopped = may_be_stopped
+        self.stop_announced = False
+        self._refuses_stops = not may_be_stopped
         self._received = asyncio.Event()
         self._notice: MoveNotice | None = None
+        self._waits_since: float | None = None
+
+    @property
+    def moved(self) -> bool:
+        """Whether the generation was moved."""
+        return self._notice is not None and self._notice.copy is not None
+
+    def announce_stop(self) -> bool:
+        """Expect the generation to be stopped; return whether it may be."""
+        if self._refuses_stops:
+            return False
+        self.stop_announced = True
+        # It was about an earlier order.
+        self._drop_notice()
+        return True
+
+    def refuse_stops(self) -> None:
+        """Let the generation not be stopped from now on, as it has ended."""
+        self._refuses_stops = True
 
     def receive(self, notice: MoveNotice) -> None:
         """Keep a notice; a later one replaces it."""
         self._notice = notice
+        if notice.copy is None:
+            self.stop_announced = False
         self._received.set()
 
     def record_event(self) -> None:
@@ -250,10 +310,23 @@
         A process beside an engine sends one also after a single failed reading.
         """
         if self._notice is not None and self._notice.copy is None:
-            self._notice = None
-            self._received.clear()
+            self._drop_notice()
 
     async def wait(self, seconds: float) -> MoveNotice | None:
-        """Return the notice, None if none arrives in time."""
-        await wait_until_set(self._received, seconds)
+        """Return the notice, None if none arrives in time.
+
+        Parameters
+        ----------
+        seconds
+            Counted from the first time that it is awaited.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._waits_since is None:
+            self._waits_since = now
+        left = self._waits_since + seconds - now
+        await wait_until_set(self._received, max(0, left))
         return self._notice
+
+    def _drop_notice(self) -> None:
+        self._notice = None
+        self._received.clear()
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -52,12 +52,15 @@
         Secret that all processes of a deployment share.
     wants_retries
         Whether peers are to return what they keep of this process's retries.
+    confirms_stops
+        Whether it answers when the generation of a stream is to be stopped.
     """
 
     name: str
     incarnation: str
     key: str
     wants_retries: bool = False
+    confirms_stops: bool = False
 
 
 class PeerLink:
@@ -147,6 +150,7 @@
                 incarnation=identity.incarnation,
                 key=identity.key,
                 wants_retries=identity.wants_retries,
+                confirms_stops=identity.confirms_stops,
             )
             await socket.send(serialise_frame([hello]))
             link = Link(socket, self._metrics)
@@ -211,6 +215,7 @@
         self._metrics = metrics
         self._make_greeting = make_greeting
         self._links: dict[Link, str] = {}
+        self._confirming_links: set[Link] = set()
 
     @property
     def peers(self) -> int:
@@ -241,6 +246,12 @@
             if link not in exclude:
                 link.send_encoded(encoded)
 
+    def announce_stop(self, query: wire.StopQuery) -> None:
+        """Send a query to every peer that understands it."""
+        encoded = encode_message(query)
+        for link in self._confirming_links:
+            link.send_encoded(encoded)
+
     def send_to_some(
         self, message: Message, limit: int, exclude: Link | None = None
     ) -> list[Link]:
@@ -274,6 +285,8 @@
             return
         link = Link(socket, self._metrics)
         self._links[link] = hello.process
+        if hello.confirms_stops:
+            self._confirming_links.add(link)
         log_event('link_opened', peer=hello.process, peers=self.peers)
         for greeting in self._make_greeting(hello):
             link.send(greeting)
@@ -281,4 +294,5 @@
             await link.run(lambda message: self._handle(message, link))
         finally:
             self._links.pop(link)
+            self._confirming_links.discard(link)
             log_event('link_closed', peer=hello.process, peers=self.peers)
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -25,6 +25,7 @@
     ErrorKind,
     MisdirectedError,
     NotRunError,
+    RunStoppedError,
     UnreachableError,
 )
 from ..httpclient import parse_pause, parse_quantity, prevent_resend
@@ -43,6 +44,8 @@
 _CONNECT_TIMEOUT_SECONDS = 0.3
 _REPORT_TIMEOUT_SECONDS = 0.5
 _MOVE_TIMEOUT_SECONDS = 2.0
+# The stream of a stopped generation pauses meanwhile.
+_STOP_TIMEOUT_SECONDS = 1.0
 _MAX_HEADER_LINE_BYTES = 65536
 _MAX_REPORT_BYTES = 4_194_304
 # Statuses that usually mean the call did not run.  It may have run all the same
@@ -452,17 +455,20 @@
         """
         payload = {'id': run.name, 'to': target, 'last': last}
         response = await self._send_request(
-            'POST', '/kv-move', _MOVE_TIMEOUT_SECONDS, payload
+            'POST',
+            '/kv-move',
+            _STOP_TIMEOUT_SECONDS if last else _MOVE_TIMEOUT_SECONDS,
+            payload,
         )
+        if response.status == HTTPStatus.OK:
+            return _parse_handle(response.body)
         if response.status == HTTPStatus.NOT_FOUND:
-            raise NotRunError(ErrorKind.answer_expired, 'it has ended')
-        if response.status != HTTPStatus.OK:
-            raise NotRunError(ErrorKind.overloaded, f'status {response.status}')
-        try:
-            copied = msgspec.json.decode(response.body, type=_CopyResult)
-        except msgspec.DecodeError as error:
-            raise BackendCutError(str(error)) from error
-        return str(copied.cache_handle)
+            raise NotRunError(ErrorKind.answer_expired, 'it does not run here')
+        why = f'status {response.status}'
+        if last and response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            with suppress(BackendCutError):
+                raise RunStoppedError(_parse_handle(response.body), why)
+        raise NotRunError(ErrorKind.overloaded, why)
 
     async def _send_request(
         self, method: str, path: str, seconds: float, payload: object = None
@@ -494,6 +500,14 @@
         )
 
 
+def _parse_handle(body: bytes) -> str:
+    try:
+        copied = msgspec.json.decode(body, type=_CopyResult)
+    except msgspec.DecodeError as error:
+        raise BackendCutError(str(error)) from error
+    return str(copied.cache_handle)
+
+
 def _parse_run(row: list[msgspec.Raw]) -> EngineRun:
     name, tokens, events = row[:3]
     return EngineRun(
--- a/primrosewood/platform/entry.py
+++ b/primrosewood/platform/entry.py
@@ -82,6 +82,7 @@
                     make_identifier(),
                     settings.link_key,
                     wants_retries=True,
+                    confirms_stops=True,
                 ),
                 self._clock,
                 self._metrics,
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -5,6 +5,7 @@
 from functools import partial
 from http import HTTPStatus
 
+from .answerends import AnswerEnds
 from .answermemory import AnswerMemory, HeldAnswer, require_stream_size
 from .backendstate import Backend
 from .balancing import Reservation
@@ -31,7 +32,7 @@
 from .loglines import PROCESS_STOPPED
 from .logs import log_decision
 from .metrics import Metrics
-from .moves import AwaitedNotice, MoveNotice, MoveNotices
+from .moves import AwaitedNotice, MoveNotices
 from .timers import ConditionalTimeout, TimerGroup
 
 __all__ = ('Relay', 'RelayDependencies')
@@ -44,15 +45,6 @@
 # answer says more than the entry's own error, so the entry waits a little
 # longer.
 _DEADLINE_GRACE_SECONDS = 0.1
-# The notice of a move follows the end of the old stream by 4 to 20 ms.  An
-# engine gets notice some time before it leaves, so a move is likely and its
-# notice is awaited longer.  After a crash no notice of a move comes, and the
-# caller should get an error soon.
-_MOVE_NOTICE_SECONDS = 0.4
-_LEAVING_NOTICE_SECONDS = 1.0
-# On resumable routes another generation may continue the stream, and waiting
-# longer than this costs more than a second prefill.
-_SHORT_NOTICE_SECONDS = 0.1
 _STATUS_OK = 200
 # At this number of events, and whenever it has doubled, it is recorded how far
 # an answer has come.
@@ -85,6 +77,9 @@
         self._deps = dependencies
         self._placement = dependencies.placement
         self._timers = TimerGroup()
+        self._ends = AnswerEnds(
+            dependencies.placement, dependencies.transport, dependencies.clock
+        )
 
     async def answer(self, call: DirectCall, sink: AnswerSink) -> None:
         """Write a call's answer; it is complete when this returns.
@@ -192,14 +187,20 @@
         self, progress: CallProgress, backend: Backend, held: HeldAnswer
     ) -> tuple[AnswerHead, bytes]:
         backend_attempt = BackendAttempt(backend)
-        with self._placement.reserve(progress, backend_attempt) as reservation:
+        with (
+            self._placement.reserve(progress, backend_attempt) as reservation,
+            self._deps.notices.follow(
+                progress.call.name, backend.record, may_be_stopped=False
+            ) as awaited,
+        ):
             async with self._deps.transport.send(
                 progress.call, backend_attempt
             ) as reply:
                 progress.framing = reply.framing
                 head, body = await held.read(reply)
                 reservation.answer_bytes = len(body)
-                return head, body
+            await self._ends.require_whole(progress, backend, awaited)
+            return head, body
 
     async def _answer_stream(
         self, progress: CallProgress, sink: AnswerSink
@@ -247,15 +248,21 @@
             ) as reply:
                 progress.framing = reply.framing
                 progress.head_received = reply.status == _STATUS_OK
+                backend = backend_attempt.backend
                 if progress.head_received:
-                    await self._forward_events(
+                    rest = await self._forward_events(
                         progress, reply, sink, reservation, awaited
                     )
+                    await self._ends.require_whole(
+                        progress, backend, awaited, rest
+                    )
                 else:
-                    await self._forward_error(progress, reply, sink)
+                    await self._forward_error(
+                        progress, backend, reply, sink, awaited
+                    )
                 status = reply.status
         self._placement.observe_answer_length(progress)
-        self._record_answer(progress, backend_attempt.backend, status)
+        self._record_answer(progress, backend, status)
 
     async def _forward_events(
         self,
@@ -264,7 +271,8 @@
         sink: AnswerSink,
         reservation: Reservation,
         awaited: AwaitedNotice,
-    ) -> None:
+    ) -> bytes:
+        """Return the bytes after the last event."""
         splitter = EventSplitter()
         async for part in reply.parts():
             reservation.answer_bytes += len(part)
@@ -282,11 +290,17 @@
                 progress.answer_begun = True
                 await sink.begin(AnswerHead(reply.status, reply.headers))
             await sink.write(new_events)
-        if splitter.rest or not progress.answer_begun:
-            raise BackendCutError('the stream ended inside an event')
+        if not progress.answer_begun:
+            raise BackendCutError('the stream ended before its first event')
+        return splitter.rest
 
     async def _forward_error(
-        self, progress: CallProgress, reply: BackendReply, sink: AnswerSink
+        self,
+        progress: CallProgress,
+        backend: Backend,
+        reply: BackendReply,
+        sink: AnswerSink,
+        awaited: AwaitedNotice,
     ) -> None:
         if progress.answer_begun:
             # Part of the answer was sent, with the status of another response.
@@ -295,6 +309,7 @@
             raise NotRunError(ErrorKind.generation_lost, str(reply.status))
         with self._deps.answers.open() as held:
             head, body = await held.read(reply)
+            await self._ends.require_whole(progress, backend, awaited)
             await sink.begin(head)
             await sink.write(body)
 
@@ -336,7 +351,7 @@
         awaited: AwaitedNotice,
     ) -> BackendAttempt:
         """Return the attempt that continues a stream that was cut."""
-        notice = await self._await_notice(
+        notice = await self._ends.await_notice(
             progress, backend_attempt.backend, awaited
         )
         if notice is None or notice.copy is None:
@@ -355,7 +370,11 @@
             why=error,
         )
         self._deps.metrics.count('resumed')
-        backend = await self._placement.find_resuming(progress, notice.copy)
+        backend = await self._placement.find_resuming(
+            progress,
+            notice.copy,
+            at_source=notice.copy.address == notice.source,
+        )
         return BackendAttempt(
             backend,
             Resumption(notice.source, notice.copy.handle, last_event),
@@ -389,22 +408,6 @@
         self._deps.metrics.count('begun_anew')
         return self._choose_attempt(progress)
 
-    async def _await_notice(
-        self,
-        progress: CallProgress,
-        backend: Backend,
-        awaited: AwaitedNotice,
-    ) -> MoveNotice | None:
-        traits = self._placement.engine_traits(progress.call.service)
-        if traits is None or not traits.moves:
-            return None
-        seconds = _MOVE_NOTICE_SECONDS
-        if progress.call.route.resumable:
-            seconds = _SHORT_NOTICE_SECONDS
-        elif backend.stopping:
-            seconds = _LEAVING_NOTICE_SECONDS
-        return await awaited.wait(seconds)
-
     def _record_answer(
         self, progress: CallProgress, backend: Backend, status: int
     ) -> None:
--- /dev/null
+++ b/primrosewood/runstops.py
@@ -0,0 +1,242 @@
+"""Stops generations of an engine once their entries expect it.
+
+An engine closes the stream of a generation that it stops. Without a length or
+chunks that looks like the end of the answer, so a generation is stopped only
+after the entry that holds its stream has confirmed that it expects this.
+"""
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+
+from . import gen_wire as wire
+from .backendstate import BackendIdentity
+from .clock import Clock
+from .errors import (
+    BackendCutError,
+    BackendPausedError,
+    ErrorKind,
+    NotRunError,
+    PrimrosewoodError,
+    RunStoppedError,
+    WireError,
+)
+from .logs import log_decision
+from .metrics import Metrics
+from .movableengine import EngineLocation, MovableEngine
+from .movequeries import EntryLinks, StopConfirmation
+from .moves import EngineRun, MovedCopy
+
+__all__ = ('MovePostponedError', 'RunStopper', 'runs_no_more')
+
+# How long to wait for the entry; the generation runs on.
+_CONFIRMATION_SECONDS = 0.25
+
+
+class MovePostponedError(PrimrosewoodError):
+    """A generation cannot be moved now, to whatever engine."""
+
+
+class RunStopper:
+    """Orders the stops of generations of one engine.
+
+    Parameters
+    ----------
+    links
+        Links to the entries.
+    own_name
+        Returns the name of the engine, empty while it is not known.
+    """
+
+    def __init__(
+        self,
+        engine: MovableEngine,
+        location: EngineLocation,
+        clock: Clock,
+        metrics: Metrics,
+        links: EntryLinks,
+        own_name: Callable[[], str],
+    ) -> None:
+        """Create a stopper that has ordered nothing."""
+        self._engine = engine
+        self._location = location
+        self._clock = clock
+        self._metrics = metrics
+        self._links = links
+        self._own_name = own_name
+        self._confirmation = StopConfirmation()
+        self._ordered: set[str] = set()
+
+    def may_have_stopped(self, run: EngineRun) -> bool:
+        """Return whether a generation was ordered to stop, and may have."""
+        return run.name in self._ordered
+
+    def forget_generations(self) -> None:
+        """Forget all generations, as the engine has started anew."""
+        self._ordered.clear()
+
+    def handle(self, reply: wire.StopReply) -> None:
+        """Handle the reply of an entry."""
+        self._confirmation.handle(reply)
+
+    async def ask(self, run: EngineRun, boot: int) -> bool:
+        """Return whether a generation may be stopped.
+
+        Until it is told otherwise, its entry then takes the end of the stream
+        for the stop.
+
+        Parameters
+        ----------
+        run
+            The generation.
+        boot
+            Start of the engine that runs it.
+
+        Raises
+        ------
+        MovePostponedError
+            No entry says that it holds the stream.
+        """
+        self._confirmation = StopConfirmation(run.name, boot)
+        query = wire.StopQuery(run.name, self._engine.address, boot)
+        self._links.announce_stop(query)
+        agrees = await self._confirmation.wait(_CONFIRMATION_SECONDS)
+        if agrees is None:
+            raise MovePostponedError('no entry confirms the stop')
+        if not agrees:
+            log_decision('stop_declined', request=run.name)
+        return agrees
+
+    async def stop(self, run: EngineRun, copy: MovedCopy, boot: int) -> None:
+        """Stop a generation and tell the entries where it goes on.
+
+        They are told in any case, as it may have stopped whatever the answer
+        to the order is.
+
+        Parameters
+        ----------
+        run
+            The generation.
+        copy
+            An earlier copy of it at the target.
+        boot
+            Start of the engine that runs it.
+
+        Raises
+        ------
+        MovePostponedError
+            It was stopped, or may have been, and may come back.
+        NotRunError
+            It was not stopped.
+        """
+        was_ordered = run.name in self._ordered
+        self._ordered.add(run.name)
+        try:
+            handle = await self._send_order(run, copy.address)
+        except RunStoppedError as error:
+            self._report_move(
+                run, self._find_kept_copy(error, copy, boot), boot
+            )
+            raise MovePostponedError(str(error)) from error
+        except (NotRunError, BackendCutError) as error:
+            if not was_ordered and await self._runs_on(error, boot):
+                self._ordered.discard(run.name)
+                self.report_stay(run, boot)
+                raise
+            self._report_move(run, copy, boot)
+            raise MovePostponedError(str(error)) from error
+        self._report_move(run, replace(copy, handle=handle), boot)
+
+    def report_stay(self, run: EngineRun, boot: int) -> None:
+        """Tell all entries that a generation was not stopped."""
+        self._metrics.count('moves', 'stays')
+        log_decision(
+            'not_moved', request=run.name, tokens=run.tokens, events=run.events
+        )
+        self._links.broadcast(
+            wire.RunMoved(
+                attempt=run.name,
+                source=self._engine.address,
+                handle='',
+                target='',
+                service=self._location.service,
+                source_boot=boot,
+            )
+        )
+
+    async def _runs_on(self, error: Exception, boot: int) -> bool:
+        """Return whether an answer shows that nothing was stopped.
+
+        A generation that is not there has ended by itself, unless the engine
+        has started anew.
+        """
+        if isinstance(error, BackendPausedError):
+            return True
+        if not runs_no_more(error):
+            return False
+        with suppress(BackendPausedError, BackendCutError):
+            reading = await self._engine.read()
+            return reading.boot == boot
+        return False
+
+    async def _send_order(self, run: EngineRun, target: str) -> str:
+        log_decision('stop_ordered', request=run.name, target=target)
+        ordered_at = self._clock.monotonic()
+        answer = 'none'
+        try:
+            handle = await self._engine.copy(run, target, last=True)
+            answer = 'copied'
+        except (NotRunError, BackendCutError) as error:
+            answer = str(error) or type(error).__name__
+            raise
+        finally:
+            log_decision(
+                'stop_answered',
+                request=run.name,
+                target=target,
+                answer=answer,
+                seconds=self._clock.monotonic() - ordered_at,
+            )
+        return handle
+
+    def _find_kept_copy(
+        self, error: RunStoppedError, copy: MovedCopy, boot: int
+    ) -> MovedCopy:
+        """Return what this engine keeps of a generation that it stopped.
+
+        The earlier copy is less, but named, where the engine has no name yet.
+        """
+        try:
+            identity = BackendIdentity(
+                self._location.service, self._own_name(), boot
+            )
+        except WireError:
+            return copy
+        return MovedCopy(error.handle, identity, self._engine.address)
+
+    def _report_move(self, run: EngineRun, copy: MovedCopy, boot: int) -> None:
+        self._metrics.count('moves', 'moved')
+        log_decision(
+            'moved',
+            request=run.name,
+            target=copy.address,
+            tokens=run.tokens,
+            events=run.events,
+        )
+        self._links.broadcast(
+            wire.RunMoved(
+                attempt=run.name,
+                source=self._engine.address,
+                handle=copy.handle,
+                target=copy.address,
+                target_name=copy.target.name,
+                service=self._location.service,
+                source_boot=boot,
+                target_boot=copy.target.boot,
+            )
+        )
+
+
+def runs_no_more(error: Exception) -> bool:
+    """Return whether an error says that the engine has no such generation."""
+    return getattr(error, 'kind', None) is ErrorKind.answer_expired
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -45,6 +45,10 @@
         self.sent = []
         self.leaving = ''
         self.change_reply = lambda told: [told]
+        self.announced = []
+        self.confirm = lambda query: [
+            wire.StopReply(query.attempt, query.boot, agrees=True)
+        ]
 
     def send_to(self, peer, message):
         self.sent.append((peer, message))
@@ -63,6 +67,12 @@
             for reply in self.change_reply(told):
                 self.keeper.handle(reply, None)
 
+    def announce_stop(self, query):
+        """Answer as the entry that holds the stream."""
+        self.announced.append(query)
+        for reply in self.confirm(query):
+            self.keeper.handle(reply, None)
+
     def send_to_some(self, message, limit, exclude=None):
         self.limited.append(message)
         self.broadcast(message)
@@ -111,8 +121,10 @@
         return f'copy-{run.name}'
 
 
-class EngineKeeperTest(unittest.IsolatedAsyncioTestCase):
-    """Reports, forwarded messages and moves."""
+class KeeperTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests on a keeper of an engine with two generations."""
+
+    make_engine = FakeEngine
 
     async def asyncSetUp(self):
         patched = mock.patch(
@@ -120,7 +132,7 @@
         )
         patched.start()
         self.addCleanup(patched.stop)
-        self.engine = FakeEngine(
+        self.engine = self.make_engine(
             EngineRun('big', 4000, 50), EngineRun('small', 2000, 9)
         )
         self.server = FakeServer()
@@ -141,6 +153,10 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+
+class EngineKeeperTest(KeeperTestCase):
+    """Reports, forwarded messages and moves."""
+
     async def test_generations_are_moved_off_a_leaving_engine(self):
         """An engine leaves with two seconds of notice.
 
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -15,6 +15,7 @@
     BackendCutError,
     BackendPausedError,
     NotRunError,
+    RunStoppedError,
 )
 from primrosewood.moves import EngineRun
 from primrosewood.platform.engines import HttpMovableEngine, HttpTransport
@@ -306,3 +307,19 @@
         )
         reading = await engine.read()
         self.assertTrue(reading.state.leaving)
+
+    async def test_refused_last_copy(self):
+        """Guards against a stopped run that is taken for one that goes on."""
+        body = b'{"cache_handle":"kept","created":7}'
+        engine = await self.serve_engine(
+            b'HTTP/1.1 503 Full\r\nConnection: close\r\n'
+            + b'Content-Length: %d\r\n\r\n' % len(body)
+            + body
+        )
+        run = EngineRun('ab12', 1000, 5)
+        with self.assertRaises(RunStoppedError) as caught:
+            await engine.copy(run, '10.0.0.2:80', last=True)
+        self.assertEqual('kept', caught.exception.handle)
+        with self.assertRaises(NotRunError) as caught:
+            await engine.copy(run, '10.0.0.2:80', last=False)
+        self.assertNotIsInstance(caught.exception, RunStoppedError)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -79,6 +79,12 @@
             yield part
 
 
+class ChunkedReply(ScriptedReply):
+    """Reply whose last chunk marks its end."""
+
+    framing = AnswerFraming.chunks
+
+
 class ScriptedTransport:
     """Returns or raises the next scripted outcome for each send."""
 
@@ -96,6 +102,9 @@
             await asyncio.sleep(60)
         yield outcome
 
+    async def refuses_connections(self, _backend):
+        return False
+
 
 class Sink:
     """Records the answer that the caller would receive."""
@@ -128,6 +137,25 @@
     return MoveNotice('ab12', source.address, source.boot, copy)
 
 
+def make_call(kind, now, seconds=5, **fields):
+    """Return a call that arrives now, on a route of a kind."""
+    route = Route('r', 'h', '/', kind, (Target('s'),), seconds, 0.2, **fields)
+    return DirectCall(
+        name='ab12',
+        method='POST',
+        target='/x',
+        headers=(),
+        body=b'',
+        route=route,
+        service='s',
+        organisation='o',
+        arrived=now,
+        deadline=now + seconds,
+        caller_deadline=now + seconds,
+        size=GenerationSize(1000, 400) if route.streaming else None,
+    )
+
+
 class _RelayTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests on a relay with three back ends."""
 
@@ -174,24 +202,7 @@
         )
 
     def make_call(self, kind, seconds=5, **fields):
-        route = Route(
-            'r', 'h', '/', kind, (Target('s'),), seconds, 0.2, **fields
-        )
-        now = self.clock.monotonic()
-        return DirectCall(
-            name='ab12',
-            method='POST',
-            target='/x',
-            headers=(),
-            body=b'',
-            route=route,
-            service='s',
-            organisation='o',
-            arrived=now,
-            deadline=now + seconds,
-            caller_deadline=now + seconds,
-            size=GenerationSize(1000, 400) if route.streaming else None,
-        )
+        return make_call(kind, self.clock.monotonic(), seconds, **fields)
 
     async def answer(self, call, *script):
         self.transport.script.extend(script)
@@ -557,7 +568,7 @@
                 self.notices.post(make_notice(backend_attempt, target))
                 yield ScriptedReply(make_event(1), CUT)
             else:
-                yield ScriptedReply(make_event(2))
+                yield ChunkedReply(make_event(2))
 
         self.transport.send = send
         self.sink = Sink()
@@ -657,7 +668,7 @@
         self.transport.script.extend(
             (
                 ScriptedReply(make_event(1), make_event(2) + b'id: 3', CUT),
-                ScriptedReply(make_event(2), make_event(3)),
+                ChunkedReply(make_event(2), make_event(3)),
             )
         )
         original_send = self.transport.send
