Ask no entry about the stop of a run that ended during its copy

No entry confirms the stop of a stream that it no longer holds, so the others waited for .25 s of a notice of some 2 s.

Change: the mover looks at its last reading after the copy.

Measured: test_run_that_ends_during_its_copy fails before (the stop of the ended run is announced) and passes now; the other tests of the keeper pass.

--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -251,6 +251,7 @@
         started = self._clock.monotonic()
         boot = self._source_boot
         handle = await self._engine.copy(run, target.address, last=False)
+        self._require_running(run)
         takes_calls = await self._still_takes_calls(target)
         if self._stopping or not takes_calls:
             raise NotRunError(ErrorKind.leaving)
@@ -269,6 +270,22 @@
         ) * _NEWEST_COPY_WEIGHT
         self._metrics.record('move', copy_seconds)
 
+    def _require_running(self, run: EngineRun) -> None:
+        """Check that the engine still reports a generation.
+
+        No entry confirms the stop of one that ended during its copy, and the
+        others would wait for that.
+
+        Raises
+        ------
+        MovePostponedError
+            The last reading does not list it.
+        """
+        reading = self._reading
+        running = () if reading is None else reading.runs
+        if all(each.name != run.name for each in running):
+            raise MovePostponedError('it has ended')
+
     async def _still_takes_calls(self, target: MoveTarget) -> bool:
         """Return whether an entry says that an engine takes calls."""
         identity = target.identity
--- a/tests/test_run_stops.py
+++ b/tests/test_run_stops.py
@@ -174,6 +174,25 @@
         self.assertEqual('', notice.handle)
         self.assertEqual(FakeEngine.boot, notice.source_boot)
 
+    async def test_run_that_ends_during_its_copy(self):
+        """Guards against others that wait for the stop of a run that is gone."""
+        copy = self.engine.copy
+
+        async def copy_slowly(run, target, last):
+            handle = await copy(run, target, last)
+            if run.name == 'small':
+                self.engine.runs.remove(run)
+                await asyncio.sleep(0.3)
+            return handle
+
+        self.engine.copy = copy_slowly
+        self.engine.leaving = True
+        await self.wait_for(lambda: ('big', 'b:1') in self.server.moves())
+        self.assertEqual(
+            ['big'], [each.attempt for each in self.server.announced]
+        )
+        self.assertEqual([], self.list_notices())
+
     async def test_order_that_was_not_sent(self):
         """Guards against a stream that waits for an order nobody gave."""
         self.engine.stops = False
