Refuse addresses and numbers that cannot be used where records are read

What callers saw: while one odd record of another writer stood among those of back ends, 4 to 9 of 30 calls got 500 (port 99999 or 65536, hosts such as '.'), or all calls of its service (slots of 10^400).

Cause: a record was checked for the form of its values, not for whether they can be used. Where they are used, libraries raise OverflowError or ValueError, which no path expects. The class: a value from outside that fails far from where it is read. Elsewhere: announcements of engines over links, numbers that entries keep in the store (limits divide by them), reports of engines.

Change: parse_address and bounded numbers where records, announcements and reports are read; each refusal is logged there as before ('record_refused').

--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -7,6 +7,7 @@
 from itertools import chain
 
 from . import gen_wire as wire
+from .addresses import parse_address
 from .backendset import BackendSet
 from .backendstate import Backend, BackendIdentity, BackendRecord
 from .clock import Clock
@@ -172,6 +173,13 @@
         engine = self._tables.engine_traits(found.service)
         if engine is None:
             return False
+        try:
+            parse_address(found.address)
+        except WireError as error:
+            log_event(
+                'record_refused', 'WARNING', endpoint=found.name, why=error
+            )
+            return False
         record = BackendRecord(
             name=found.name,
             service=found.service,
--- a/primrosewood/platform/documents.py
+++ b/primrosewood/platform/documents.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..addresses import parse_address
 from ..backendstate import BackendRecord
 from ..errors import WireError
 from ..priorities import PriorityTable
@@ -22,6 +23,7 @@
     ServiceTraits,
     Target,
 )
+from .numbers import PositiveCount, PositiveInteger
 from .prioritydocuments import read_priorities
 
 __all__ = (
@@ -125,11 +127,11 @@
     service: NonEmptyText
     address: Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
     zone: NonEmptyText
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: PositiveCount
     state: Literal['ready', 'draining']
     # Start time in Unix milliseconds; distinguishes two processes that
     # registered under the same name, one after the other.
-    born: Annotated[int, msgspec.Meta(ge=1)]
+    born: PositiveInteger
     # Version of its software.
     version: str = ''
     # Remaining warm-up time when the record was written.
@@ -220,6 +222,7 @@
         raise WireError(str(error)) from error
     if not name:
         raise WireError('the back end has no name')
+    parse_address(record.address)
     return BackendRecord(
         name=name,
         service=record.service,
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -33,6 +33,7 @@
 from ..movableengine import EngineReading
 from ..moves import EngineRun
 from . import headers
+from .numbers import BoundedInteger
 
 __all__ = ('HttpMovableEngine', 'HttpTransport')
 
@@ -60,6 +61,13 @@
 _STATUSES_WITHOUT_BODY = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 )
+_REPORT_ERRORS = (
+    msgspec.DecodeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+    ValueError,
+)
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # aiohttp adds these headers where a caller sent none.
 _LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
@@ -332,16 +340,16 @@
 
     # KV cache in tokens: what cannot be freed, and the total.  Cached prompts
     # can be freed and do not count as used.
-    kv_used: int = 0
-    kv_total: int = 0
-    queued: int = 0
+    kv_used: BoundedInteger = 0
+    kv_total: BoundedInteger = 0
+    queued: BoundedInteger = 0
     # Includes requests in prefill.
-    running: int = 0
+    running: BoundedInteger = 0
     # Prompt tokens of the first request in the queue.
-    next_token: int = 0
+    next_token: BoundedInteger = 0
     state: str = 'ready'
     # Start time in Unix milliseconds.
-    born: int = 0
+    born: BoundedInteger = 0
     # Time until the engine is taken away, None if it has given no notice.
     leaves_ms: float | None = None
     # A row for each generation past prefill: name, tokens in the KV cache,
@@ -403,7 +411,7 @@
         try:
             report = msgspec.json.decode(response.body, type=_EngineReport)
             runs = tuple(_parse_run(row) for row in report.runs)
-        except (msgspec.DecodeError, IndexError) as error:
+        except _REPORT_ERRORS as error:
             raise BackendCutError(str(error)) from error
         leaves_in = report.leaves_ms
         leaving = (
--- a/primrosewood/platform/entrydocuments.py
+++ b/primrosewood/platform/entrydocuments.py
@@ -1,13 +1,12 @@
 """Decodes the documents that entries write to the store for each other."""
 
-from typing import Annotated
-
 import msgspec
 
 from ..crashes import BlamedCall, Crash
 from ..crashguard import StoredCrashes
 from ..entrycount import StoredEntryCount
 from ..errors import WireError
+from .numbers import BoundedCount, BoundedInteger
 
 __all__ = (
     'CRASHES_KEY',
@@ -23,28 +22,28 @@
 
 
 class _EntryCount(msgspec.Struct):
-    entries: Annotated[int, msgspec.Meta(ge=0)]
+    entries: BoundedCount
     names: list[str] = []
 
 
 class _Crash(msgspec.Struct):
     endpoint: str
-    boot: int
+    boot: BoundedInteger
     service: str
     # Crashes of one moment have the same number.
-    moment: int
+    moment: BoundedInteger
     organisations: list[str] = []
     parts: list[str] = []
     cleared: list[str] = []
     reporters: list[str] = []
     # Marks, organisation, milliseconds, events.
-    calls: list[tuple[list[str], str, int, int]] = []
+    calls: list[tuple[list[str], str, BoundedInteger, BoundedInteger]] = []
 
 
 class _Crashes(msgspec.Struct):
     crashes: list[_Crash]
     # Calls that were let through as a trial, by service.
-    trials: dict[str, Annotated[int, msgspec.Meta(ge=0)]] = {}
+    trials: dict[str, BoundedCount] = {}
 
 
 _CRASHES_DECODER = msgspec.json.Decoder(_Crashes)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -323,3 +323,23 @@
         with self.assertRaises(NotRunError) as caught:
             await engine.copy(run, '10.0.0.2:80', last=False)
         self.assertNotIsInstance(caught.exception, RunStoppedError)
+
+    async def test_odd_reports(self):
+        """Guards against a process that ends by a number in a report."""
+        for body in (
+            b'{"kv_used":1%b}' % (b'0' * 400),
+            b'{"leaves_ms":1e999}',
+            b'{"running":-1}',
+            b'{"runs":[["a",1e999,2]]}',
+            b'{"runs":[["a",1%b,2]]}' % (b'0' * 400),
+            b'{"runs":[["a"]]}',
+            b'{"x":' + b'[' * 90_000 + b']' * 90_000 + b'}',
+            b'{"state":"\xff"}',
+        ):
+            engine = await self.serve_engine(
+                STATUS_LINE
+                + b'Connection: close\r\nContent-Length: %d\r\n\r\n' % len(body)
+                + body
+            )
+            with self.subTest(body[:30]), self.assertRaises(BackendCutError):
+                await engine.read()
