Refuse statuses that are none, and answers of services that were reset

What callers saw: an answer with status 000 (001, 099, 600, 999) of a back end in trouble was passed on, with its seal, as an answer; from the product's own plain services too. And, found on the way, a part of an answer without a length as a whole one where the product's own plain service reset its connection.

Cause: any three digits were taken for a status.

Change: 200 to 599 are statuses that end a request; with any other one the call may have run, whatever the answer says of that. The reset is noticed by the one handler of all clients, and read_parts raises for it.

Ruled out: stores and engines' control calls pass a part on, as their answers are JSON, of which a part does not parse.

--- a/primrosewood/backends.py
+++ b/primrosewood/backends.py
@@ -21,7 +21,7 @@
     WireError,
 )
 from .events import EventSplitter
-from .httpclient import parse_pause, prevent_resend
+from .httpclient import is_final_status, parse_pause, prevent_resend
 
 __all__ = (
     'CallResult',
@@ -310,7 +310,8 @@
         BackendPausedError
             The service has asked for a pause.
         BackendCutError
-            The connection broke after the call was written.
+            The connection broke after the call was written, or the answer is
+            none.
         """
         self._require_no_pause()
         headers = {'X-Attempt': call.attempt}
@@ -325,6 +326,7 @@
                 allow_redirects=False,
             ) as response:
                 self._heed(response)
+                _require_final_status(response.status)
                 return CallResult(
                     response.status,
                     response.headers.get('Content-Type', ''),
@@ -336,6 +338,11 @@
             raise BackendCutError(type(error).__name__) from error
 
 
+def _require_final_status(status: int) -> None:
+    if not is_final_status(status):
+        raise BackendCutError(f'status {status} is none')
+
+
 def _check_status(response: aiohttp.ClientResponse) -> None:
     status = response.status
     pause = parse_pause(response)
--- a/primrosewood/boundedanswers.py
+++ b/primrosewood/boundedanswers.py
@@ -12,10 +12,11 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from .errors import OversizedAnswerError
+from .errors import BackendCutError, OversizedAnswerError
 
 __all__ = (
     'BoundedResponseHandler',
+    'follow_body',
     'make_connector',
     'read_limited',
     'read_parts',
@@ -29,17 +30,25 @@
 class BoundedResponseHandler(ResponseHandler):
     """Closes a connection whose bytes bring no answer forward.
 
+    Reports other faults of the connection too.  aiohttp takes its end for the
+    end of an answer without a length, even after a reset, and after a malformed
+    chunk leaves the reader of the answer waiting.
+
     Attributes
     ----------
     oversized
         Why it was closed, None unless it was closed for that.
+    was_reset
+        Whether it was reset.
     """
 
     def __init__(self, loop: Any) -> None:
         """Start before the first answer."""
         super().__init__(loop=loop)
         self._received_bytes = 0
+        self._content: aiohttp.StreamReader | None = None
         self.oversized: OversizedAnswerError | None = None
+        self.was_reset = False
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the next answer."""
@@ -62,6 +71,21 @@
     ) -> None:
         """Report a fault; that the answer is oversized remains the reason."""
         super().set_exception(self.oversized or exc, *exc_cause)
+        # Bytes after a whole response belong to no call.
+        if self._content is not None and not self._content.is_eof():
+            self._content.set_exception(
+                self.oversized
+                or aiohttp.ClientPayloadError('malformed response')
+            )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record whether the connection was reset."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+    def follow(self, content: aiohttp.StreamReader) -> None:
+        """Report malformed bytes to the reader of an answer's content."""
+        self._content = content
 
     def _close_oversized(self, overhead: int) -> None:
         self.oversized = OversizedAnswerError(
@@ -75,27 +99,38 @@
         self.transport.abort()
 
 
-def make_connector(
-    handler: type[BoundedResponseHandler] = BoundedResponseHandler,
-    **options: Any,
-) -> aiohttp.TCPConnector:
+def make_connector(**options: Any) -> aiohttp.TCPConnector:
     """Return a connector whose connections bound what they read.
 
     Parameters
     ----------
-    handler
-        Class of the connections' handlers.
     **options
         Options of the connector.
     """
     connector = aiohttp.TCPConnector(**options)
     connector._factory = functools.partial(  # noqa: SLF001, WPS437
-        handler,
+        BoundedResponseHandler,
         loop=connector._loop,  # noqa: SLF001, WPS437
     )
     return connector
 
 
+def follow_body(
+    response: aiohttp.ClientResponse,
+) -> BoundedResponseHandler | None:
+    """Return the handler of a response's connection, which reports its faults.
+
+    To be called before the body is read, as aiohttp forgets the connection
+    then; None if all of the body has been received.
+    """
+    connection = response.connection
+    handler = None if connection is None else connection.protocol
+    if not isinstance(handler, BoundedResponseHandler):
+        return None
+    handler.follow(response.content)
+    return handler
+
+
 async def read_parts(
     response: aiohttp.ClientResponse, limit: int
 ) -> AsyncIterator[bytes]:
@@ -110,13 +145,18 @@
     ------
     OversizedAnswerError
         The body is longer.
+    BackendCutError
+        The connection was reset.
     """
+    handler = follow_body(response)
     size = 0
     async for part in response.content.iter_any():
         size += len(part)
         if size > limit:
             raise OversizedAnswerError(f'a body of over {limit} bytes')
         yield part
+    if handler is not None and handler.was_reset:
+        raise BackendCutError('the answer was reset')
 
 
 async def read_limited(response: aiohttp.ClientResponse, limit: int) -> bytes:
--- a/primrosewood/httpclient.py
+++ b/primrosewood/httpclient.py
@@ -7,13 +7,27 @@
 
 from .errors import BackendCutError
 
-__all__ = ('parse_pause', 'parse_quantity', 'prevent_resend')
+__all__ = (
+    'is_final_status',
+    'parse_pause',
+    'parse_quantity',
+    'prevent_resend',
+)
 
 _PAUSING_STATUSES = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
 
 
+_NO_STATUS = 600
+_FINAL_STATUSES = range(HTTPStatus.OK, _NO_STATUS)
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a number is a status that can end a request."""
+    return status in _FINAL_STATUSES
+
+
 async def prevent_resend(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -14,7 +14,7 @@
 from ..backendstate import Backend, EngineState
 from ..backpressure import AnswerNotice, Backpressure
 from ..boundedanswers import (
-    BoundedResponseHandler,
+    follow_body,
     make_connector,
     read_limited,
 )
@@ -28,7 +28,12 @@
     RunStoppedError,
     UnreachableError,
 )
-from ..httpclient import parse_pause, parse_quantity, prevent_resend
+from ..httpclient import (
+    is_final_status,
+    parse_pause,
+    parse_quantity,
+    prevent_resend,
+)
 from ..httpserver import split_address
 from ..movableengine import EngineReading
 from ..moves import EngineRun
@@ -73,48 +78,11 @@
 _LIBRARY_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 
 
-class _ResponseHandler(BoundedResponseHandler):
-    """Reports faults of a connection to whoever reads a response from it.
-
-    aiohttp takes the end of the connection for the end of a response without
-    a length, even after a reset.  A truncated response would then pass as
-    complete.  After a malformed chunk it closes the connection, but leaves the
-    reader of the response waiting.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Start with a connection that was not reset."""
-        super().__init__(loop=loop)
-        self.was_reset = False
-        self._content: aiohttp.StreamReader | None = None
-
-    def follow(self, content: aiohttp.StreamReader) -> None:
-        """Report malformed bytes to the reader of a response's content."""
-        self._content = content
-
-    def set_exception(
-        self, exc: BaseException, *exc_cause: BaseException
-    ) -> None:
-        """Handle bytes that are no response, or another fault."""
-        super().set_exception(exc, *exc_cause)
-        # Bytes after a whole response belong to no call.
-        if self._content is not None and not self._content.is_eof():
-            self._content.set_exception(
-                self.oversized
-                or aiohttp.ClientPayloadError('malformed response')
-            )
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record whether the connection was reset."""
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
-
 def _make_session() -> aiohttp.ClientSession:
     # No keep-alive: the back end may close an idle connection just as a call is
     # written to it, or the connection may deliver a late response to an earlier
     # call.  A new connection costs a millisecond.
-    connector = make_connector(_ResponseHandler, limit=0, force_close=True)
+    connector = make_connector(limit=0, force_close=True)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -134,10 +102,7 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self._response = response
-        # aiohttp forgets the connection when the body has been read.
-        self._protocol = response.connection and response.connection.protocol
-        if self._protocol is not None:
-            self._protocol.follow(response.content)
+        self._handler = follow_body(response)
 
     @property
     def status(self) -> int:
@@ -174,7 +139,7 @@
                 yield part
         except (aiohttp.ClientError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
-        if getattr(self._protocol, 'was_reset', False):
+        if self._handler is not None and self._handler.was_reset:
             raise BackendCutError('the answer was reset')
 
     @property
@@ -567,10 +532,10 @@
     BackendCutError
         The response is not valid, so the call may have run.
     """
-    received = response.headers
     if response.status == HTTPStatus.MISDIRECTED_REQUEST:
         raise MisdirectedError(ErrorKind.no_endpoint, 'another one is there')
-    if headers.NOT_EXECUTED in received:
+    refuses = headers.NOT_EXECUTED in response.headers
+    if refuses and is_final_status(response.status):
         raise NotRunError(
             ErrorKind.overloaded,
             f'status {response.status}',
@@ -598,8 +563,9 @@
 ) -> str:
     """Return why a response is not valid, empty if it is."""
     received = response.headers
-    if response.status in _NOT_EXECUTED_STATUSES:
-        return f'status {response.status} without its mark'
+    status_fault = _find_status_fault(response.status)
+    if status_fault:
+        return status_fault
     if _is_mismatched(call, response):
         return 'an answer to another call'
     if response.status not in _SUCCESS_STATUSES:
@@ -612,3 +578,12 @@
     if 'Content-Encoding' in received:
         return 'an encoded answer'
     return ''
+
+
+def _find_status_fault(status: int) -> str:
+    """Return why a status without the mark of a refusal is not valid."""
+    if not is_final_status(status):
+        return f'status {status} is none'
+    if status in _NOT_EXECUTED_STATUSES:
+        return f'status {status} without its mark'
+    return ''
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP clients of back ends against scripted servers."""
 
 import asyncio
+import socket
+import struct
 import unittest
 
 from primrosewood.backends import (
@@ -34,6 +36,7 @@
     def __init__(self, answers):
         self.answers = answers
         self.requests = 0
+        self.resets = False
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
@@ -60,6 +63,12 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            if self.resets:
+                # Leaves time for the bytes to arrive before the reset.
+                await asyncio.sleep(0.05)
+                writer.get_extra_info('socket').setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+                )
             writer.close()
 
 
@@ -91,6 +100,29 @@
             await service.close()
         self.assertEqual(4, server.requests)
 
+    async def test_answers_that_are_none(self):
+        """Guards against an answer of a service in trouble that is passed on."""
+        for status in (b'000', b'099', b'600', b'999'):
+            server = ScriptedServer([[_OK.replace(b'200', status)]])
+            async with server as url:
+                service = HttpService(url)
+                with self.subTest(status), self.assertRaises(BackendCutError):
+                    await service.call(PlainCall('a', 'GET', '/', '', b''))
+                await service.close()
+
+    async def test_reset_cuts_an_answer_without_a_length(self):
+        """Guards against a part of an answer that is taken for all of it."""
+        server = ScriptedServer([[_OK.replace(b'Content-Length: 2\r\n', b'')]])
+        server.resets = True
+        async with server as url:
+            service = HttpService(url)
+            with self.assertRaises(BackendCutError):
+                await service.call(PlainCall('a', 'GET', '/', '', b''))
+            server.resets = False
+            answer = await service.call(PlainCall('b', 'GET', '/', '', b''))
+            await service.close()
+        self.assertEqual(b'ok', answer.body)
+
     async def test_refused_connection_is_not_run(self):
         service = HttpService('http://127.0.0.1:1')
         with self.assertRaises(NotRunError):
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -161,6 +161,22 @@
             with self.subTest(response), self.assertRaises(BackendCutError):
                 await self.fetch(await self.serve(response))
 
+    async def test_statuses_that_are_none(self):
+        """Guards against an answer of an engine in trouble that is passed on."""
+        not_executed = b'Primrosewood-Not-Executed: 1\r\n'
+        for status in (b'000', b'001', b'099', b'600', b'999'):
+            for marks in (b'', not_executed):
+                response = (
+                    b'HTTP/1.1 %b Odd\r\n' % status
+                    + RESPONSE_HEADERS
+                    + marks
+                    + LENGTH_HEADER
+                    + b'whole'
+                )
+                with self.subTest(response):
+                    with self.assertRaises(BackendCutError):
+                        await self.fetch(await self.serve(response))
+
     async def test_responses_that_say_the_call_did_not_run(self):
         not_executed = b'HTTP/1.1 503 Busy\r\nPrimrosewood-Not-Executed: 1\r\n'
         misdirected = b'HTTP/1.1 421 Misdirected Request\r\n'
