Announce a stop to the entry that placed the generation only

Cause: each move sent a StopQuery of 45 bytes to every entry, 15 KB at 330 of them, though one entry holds the stream and has said so when it placed the generation.

Change: the process beside the engine keeps the link of each placed generation and asks that entry alone; all are asked where it is not known, has gone, or did not answer the time before. explain shows the orders and their answers.

Ruled out: that a message of a newer process closes links of older ones; they are not sent it (test_stops_are_announced_to_those_that_confirm).

--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -80,11 +80,11 @@
             announce_stop=self._announce_stop,
             report_copy=self._report_copy,
         )
-        stopper = RunStopper(
+        self._stopper = RunStopper(
             engine, location, clock, metrics, links, self._get_engine_name
         )
         self._mover = EngineMover(
-            engine, location, clock, metrics, random, links, stopper
+            engine, location, clock, metrics, random, links, self._stopper
         )
         self._reports = EngineReports()
         self._token_time = TokenTimeEstimator()
@@ -141,6 +141,7 @@
         """Handle a message from an entry."""
         match message:
             case wire.CallPlaced():
+                self._stopper.record_holder(message.attempt, link)
                 self._handle_call_placed(message)
             case wire.EngineFound():
                 # Forwarded, as entries have no links to each other.
@@ -238,8 +239,10 @@
     def _get_engine_name(self) -> str:
         return self.found.name if self.found else ''
 
-    def _announce_stop(self, query: wire.StopQuery) -> None:
-        self.server.announce_stop(query)
+    def _announce_stop(
+        self, query: wire.StopQuery, holder: Link | None
+    ) -> None:
+        self.server.announce_stop(query, holder)
 
     async def _identify_engine(self) -> None:
         try:
--- a/primrosewood/movequeries.py
+++ b/primrosewood/movequeries.py
@@ -7,6 +7,7 @@
 from . import gen_wire as wire
 from .backendstate import BackendIdentity
 from .codec import Message
+from .link import Link
 from .timers import wait_until_set
 
 __all__ = ('EntryLinks', 'StopConfirmation', 'TargetReply')
@@ -23,7 +24,8 @@
     query_entries
         Sends a message to a few entries.
     announce_stop
-        Asks all entries, of which the one that holds the stream answers.
+        Asks the entry with a link, or all entries without one; the one that
+        holds the stream answers.
     report_copy
         Called with the address of another engine when a copy to it begins, and
         with an empty one when the copy has ended.
@@ -31,7 +33,7 @@
 
     broadcast: Callable[[Message], None]
     query_entries: Callable[[Message], None]
-    announce_stop: Callable[[wire.StopQuery], None]
+    announce_stop: Callable[[wire.StopQuery, Link | None], None]
     report_copy: Callable[[str], None]
 
 
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -246,10 +246,21 @@
             if link not in exclude:
                 link.send_encoded(encoded)
 
-    def announce_stop(self, query: wire.StopQuery) -> None:
-        """Send a query to every peer that understands it."""
+    def announce_stop(
+        self, query: wire.StopQuery, holder: Link | None = None
+    ) -> None:
+        """Send a query to the peers that understand it.
+
+        Parameters
+        ----------
+        holder
+            Link of the only peer to ask, while it is connected.
+        """
+        asked = self._confirming_links
+        if holder in asked:
+            asked = {holder}
         encoded = encode_message(query)
-        for link in self._confirming_links:
+        for link in asked:
             link.send_encoded(encoded)
 
     def send_to_some(
--- a/primrosewood/requesttrace.py
+++ b/primrosewood/requesttrace.py
@@ -13,7 +13,16 @@
 
 __all__ = ('RequestTrace', 'trace_request')
 
-_MOVE_EVENTS = frozenset(('moved', 'not_moved', 'move_failed'))
+_MOVE_EVENTS = frozenset(
+    (
+        'move_failed',
+        'moved',
+        'not_moved',
+        'stop_answered',
+        'stop_declined',
+        'stop_ordered',
+    )
+)
 _ENGINE_EVENTS = frozenset(('engine_found', 'engine_leaves', 'engine_lost'))
 # State of one back end or of its limit, as an entry sees it.
 _BACK_END_EVENTS = frozenset(
--- a/primrosewood/runstops.py
+++ b/primrosewood/runstops.py
@@ -5,6 +5,7 @@
 after the entry that holds its stream has confirmed that it expects this.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
@@ -21,6 +22,7 @@
     RunStoppedError,
     WireError,
 )
+from .link import Link
 from .logs import log_decision
 from .metrics import Metrics
 from .movableengine import EngineLocation, MovableEngine
@@ -31,6 +33,7 @@
 
 # How long to wait for the entry; the generation runs on.
 _CONFIRMATION_SECONDS = 0.25
+_MAX_TRACKED = 1024
 
 
 class MovePostponedError(PrimrosewoodError):
@@ -65,8 +68,16 @@
         self._links = links
         self._own_name = own_name
         self._confirmation = StopConfirmation()
+        # Links of the entries that hold the streams, by generation.
+        self._holders: OrderedDict[str, Link] = OrderedDict()
         self._ordered: set[str] = set()
 
+    def record_holder(self, name: str, link: Link) -> None:
+        """Record the link of the entry that has placed a generation."""
+        self._holders[name] = link
+        if len(self._holders) > _MAX_TRACKED:
+            self._holders.popitem(last=False)
+
     def may_have_stopped(self, run: EngineRun) -> bool:
         """Return whether a generation was ordered to stop, and may have."""
         return run.name in self._ordered
@@ -99,7 +110,8 @@
         """
         self._confirmation = StopConfirmation(run.name, boot)
         query = wire.StopQuery(run.name, self._engine.address, boot)
-        self._links.announce_stop(query)
+        # All entries are asked where it is not known or does not answer.
+        self._links.announce_stop(query, self._holders.pop(run.name, None))
         agrees = await self._confirmation.wait(_CONFIRMATION_SECONDS)
         if agrees is None:
             raise MovePostponedError('no entry confirms the stop')
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -46,6 +46,7 @@
         self.leaving = ''
         self.change_reply = lambda told: [told]
         self.announced = []
+        self.asked = []
         self.confirm = lambda query: [
             wire.StopReply(query.attempt, query.boot, agrees=True)
         ]
@@ -67,9 +68,10 @@
             for reply in self.change_reply(told):
                 self.keeper.handle(reply, None)
 
-    def announce_stop(self, query):
+    def announce_stop(self, query, holder=None):
         """Answer as the entry that holds the stream."""
         self.announced.append(query)
+        self.asked.append(holder)
         for reply in self.confirm(query):
             self.keeper.handle(reply, None)
 
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -54,7 +54,9 @@
         )
         self.sockets = []
         for number in range(_PEERS):
-            hello = wire.Hello(f'e{number}', 'i', 'k')
+            hello = wire.Hello(
+                f'e{number}', 'i', 'k', confirms_stops=number % 2 == 0
+            )
             socket = _Socket(_frame(hello))
             self.sockets.append(socket)
             # The connection handler, as the listening socket would call it.
@@ -92,6 +94,30 @@
         ):
             self.assertIn(line, exposed)
 
+    async def test_stops_are_announced_to_those_that_confirm(self):
+        """Guards against links that an unknown message closes.
+
+        Older processes refuse a frame with one.
+        """
+        query = wire.StopQuery('ab12', 'a:1', 5)
+        self.server.announce_stop(query)
+        newer, older = self.sockets[::2], self.sockets[1::2]
+        await self.wait_until_sent(newer)
+        self.assertEqual([query], parse_frame(b''.join(newer[-1].sent)))
+        self.assertFalse(any(socket.sent for socket in older))
+
+    async def test_stop_is_announced_to_one_entry(self):
+        """Guards against bytes that grow with entries times moves."""
+        holder = list(self.server._links)[2]
+        self.server.announce_stop(wire.StopQuery('ab12', 'a:1', 5), holder)
+        await self.wait_until_sent(self.sockets[2:3])
+        self.assertEqual(1, sum(bool(each.sent) for each in self.sockets))
+
+    async def wait_until_sent(self, sockets):
+        async with asyncio.timeout(5):
+            while not all(socket.sent for socket in sockets):
+                await asyncio.sleep(0.001)
+
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     """Frames of one link."""
--- a/tests/test_run_stops.py
+++ b/tests/test_run_stops.py
@@ -115,6 +115,27 @@
         ]
         await self.wait_for(self.list_notices)
 
+    async def test_only_the_entry_of_the_stream_is_asked(self):
+        """Guards against queries that grow with entries and moves.
+
+        All are asked the next time, as the link may be dead.
+        """
+        confirm = self.server.confirm
+        self.server.confirm = lambda query: []
+        self.keeper.handle(wire.CallPlaced('big', 0, 5000), 'link of entry-2')
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.server.announced) == 3)
+        self.server.confirm = confirm
+        await self.wait_for(lambda: ('big', 'b:1') in self.server.moves())
+        asked = [
+            holder
+            for query, holder in zip(
+                self.server.announced, self.server.asked, strict=True
+            )
+            if query.attempt == 'big'
+        ]
+        self.assertEqual(['link of entry-2', None], asked[:2])
+
     async def test_entry_that_declines(self):
         """Guards against a run that stops though its answer cannot go on."""
         self.server.confirm = lambda query: [
