--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -9,7 +9,12 @@
 
 from primrosewood.backendstate import Backend, BackendRecord
 from primrosewood.clock import SystemClock
-from primrosewood.directcalls import BackendAttempt, DirectCall, Resumption
+from primrosewood.directcalls import (
+    AnswerFraming,
+    BackendAttempt,
+    DirectCall,
+    Resumption,
+)
 from primrosewood.entrycount import EntryCount
 from primrosewood.errors import (
     BackendCutError,
@@ -100,6 +105,7 @@
         async with self.transport.send(
             call, BackendAttempt(backend, resumption, rank=rank)
         ) as reply:
+            self.framing = reply.framing
             return b''.join([part async for part in reply.parts()])
 
     async def test_complete_response(self):
@@ -139,6 +145,40 @@
         address = await self.serve(STATUS_LINE + RESPONSE_HEADERS + b'\r\nall')
         self.assertEqual(b'all', await self.fetch(address))
 
+    async def test_close_before_the_marked_end(self):
+        """Guards against a close that passes for a last chunk or a length."""
+        chunked = b'Transfer-Encoding: chunked\r\n\r\n'
+        for framed in (
+            chunked,
+            chunked + b'3\r\nall\r\n',
+            chunked + b'3\r\nall\r\n0\r\n',
+            chunked + b'3\r\nal',
+            b'Content-Length: 4\r\n\r\nall',
+            b'Content-Length: 4\r\n\r\n',
+        ):
+            response = STATUS_LINE + RESPONSE_HEADERS + framed
+            for reset in (False, True):
+                address = await self.serve(response, reset)
+                with self.subTest(response, reset=reset):
+                    with self.assertRaises(BackendCutError):
+                        await self.fetch(address)
+
+    async def test_framing_of_responses(self):
+        """Guards against an end that is marked and not taken for one."""
+        for framed, framing in (
+            (b'Content-Length: 3\r\n\r\nall', AnswerFraming.length),
+            (
+                b'Transfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n',
+                AnswerFraming.chunks,
+            ),
+            (b'\r\nall', AnswerFraming.close),
+        ):
+            response = STATUS_LINE + RESPONSE_HEADERS + framed
+            with self.subTest(framing):
+                address = await self.serve(response)
+                self.assertEqual(b'all', await self.fetch(address))
+                self.assertEqual(framing, self.framing)
+
     async def test_invalid_responses(self):
         """Responses to other calls, without a seal, or altered on the way."""
         other_call_headers = RESPONSE_HEADERS.replace(b'ab12', b'cd34')
