Withdraw stops that are not ordered, and count a run as stopped once asked

Cause: a failed reading of the engine while its entry was asked made the mover tell 'not moved' just before it ordered the stop, so that the part looked complete again. A question without an order was never taken back, so that whole streams were broken off 1.5 s after they had ended. A stream could go back to an engine 2.1 s after its leave was acknowledged (2 allowed). Whole closed answers waited .4 s where the process beside their engine was silent or the engine left. One frozen entry cost the others .25 s of the notice for each of its runs. A run that had come back and ended was told to have moved. A held answer that an older process stopped passed as whole.

Change: a run counts as possibly stopped from the question on; what was announced is withdrawn when the run ends, is declined, its process stops or the engine is lost, and an entry forgets it at an event 2.5 s later; streams go back for .8 s at most; processes tell entries that they announce stops (StopPolicy, only to those that confirm them), which spares the waits; runs of a silent entry come last; a run that can be copied again has come back.

Ruled out: two live processes beside one engine, as they share a port. Not changed: an engine that closes its listener before its answers have ended has closed answers broken off, as one whose process has ended looks the same.

--- a/primrosewood/answerends.py
+++ b/primrosewood/answerends.py
@@ -121,8 +121,7 @@
         """Return why a closed answer may not be whole, empty if it is."""
         if awaited.stop_announced:
             await self.await_notice(progress, backend, awaited)
-        elif awaited.may_be_stopped and _may_leave(backend):
-            # Older processes beside engines stop runs unannounced.
+        elif _may_stop_unannounced(backend, awaited):
             await awaited.wait(
                 _SHORT_NOTICE_SECONDS
                 if progress.call.route.resumable
@@ -149,5 +148,12 @@
         return traits is not None and traits.moves
 
 
-def _may_leave(backend: Backend) -> bool:
-    return backend.stopping or backend.state is None
+def _may_stop_unannounced(backend: Backend, awaited: AwaitedNotice) -> bool:
+    """Return whether a run may have been stopped without an announcement.
+
+    Older processes beside engines announce no stops.
+    """
+    if backend.announces_stops:
+        return False
+    is_unknown = awaited.may_be_stopped and backend.state is None
+    return backend.stopping or is_unknown
--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -171,6 +171,8 @@
         Monotonic seconds.
     replaced
         Whether a later start of it is known.
+    announces_stops
+        Whether the process beside it asks this entry before it stops a run.
     """
 
     record: BackendRecord
@@ -193,6 +195,7 @@
     suspect_until: float = 0
     cold_until: float = 0
     replaced: bool = False
+    announces_stops: bool = False
 
     @property
     def name(self) -> str:
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -65,7 +65,7 @@
 _LAST_CALLS_SECONDS = 0.5
 # An engine that stopped a generation and kept its memory takes it back for
 # this long; nobody else has all of it.
-_TAKE_BACK_SECONDS = 1.2
+_TAKE_BACK_SECONDS = 0.8
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -67,6 +67,7 @@
         wire.RetryRecall: 35,
         wire.StopQuery: 36,
         wire.StopReply: 37,
+        wire.StopPolicy: 38,
     }
 )
 _MESSAGE_TYPES = MappingProxyType(
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -147,7 +147,7 @@
                 # Forwarded, as entries have no links to each other.
                 self._broadcast(message, link)
             case wire.CapacityReply() | wire.TargetReply() | wire.StopReply():
-                self._mover.handle_reply(message)
+                self._mover.handle_reply(message, link)
             case wire.PairsQuery():
                 self._forward_query(message, link)
             case wire.PairsUpdate():
@@ -241,8 +241,8 @@
 
     def _announce_stop(
         self, query: wire.StopQuery, holder: Link | None
-    ) -> None:
-        self.server.announce_stop(query, holder)
+    ) -> bool:
+        return self.server.announce_stop(query, holder)
 
     async def _identify_engine(self) -> None:
         try:
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -13,6 +13,7 @@
     WireError,
 )
 from .expectedends import ExpectedEnds
+from .link import Link
 from .logs import log_event
 from .metrics import Metrics
 from .movableengine import EngineLocation, EngineReading, MovableEngine
@@ -96,6 +97,7 @@
         its stream, while the next endpoint process can still move it.
         """
         self._stopping = True
+        self._stopper.withdraw_all(self._source_boot)
 
     def record_expected_tokens(self, name: str, tokens: int) -> None:
         """Record how many tokens a generation is expected to reach."""
@@ -109,6 +111,8 @@
             self._forget_generations()
         self._reading = reading
         self._source_boot = reading.boot
+        running = {run.name for run in reading.runs}
+        self._stopper.observe(running, reading.boot)
         may_move = not self._stopping and not self.moving
         if reading.state.leaving and reading.runs and may_move:
             self._move_task = spawn(self._move_all(), 'moves')
@@ -128,7 +132,9 @@
         self._reading = None
 
     def handle_reply(
-        self, message: wire.CapacityReply | wire.TargetReply | wire.StopReply
+        self,
+        message: wire.CapacityReply | wire.TargetReply | wire.StopReply,
+        link: Link | None = None,
     ) -> None:
         """Handle an entry's answer to a query of this mover."""
         match message:
@@ -137,7 +143,7 @@
             case wire.TargetReply():
                 self._target_reply.handle(message)
             case wire.StopReply():
-                self._stopper.handle(message)
+                self._stopper.handle(message, link)
 
     def _forget_generations(self) -> None:
         self._settled.clear()
@@ -194,7 +200,10 @@
         ending = self._expected_ends.within(
             remaining, reading.leaves_in, reading.state.token_seconds
         )
-        return plan_moves(remaining, ending, self._postponed)
+        last = self._postponed | {
+            run.name for run in remaining if self._stopper.expects_silence(run)
+        }
+        return plan_moves(remaining, ending, last)
 
     async def _request_free_capacity(self) -> list[MoveTarget]:
         self._capacity_reply = asyncio.get_running_loop().create_future()
@@ -258,9 +267,9 @@
         if not await self._stopper.ask(run, boot):
             self._settled.add(run.name)
             return
-        if self._stopping:
+        if self._stopping or self._reading is None:
             self._stopper.report_stay(run, boot)
-            raise NotRunError(ErrorKind.leaving)
+            raise MovePostponedError('the engine is lost')
         copy = MovedCopy(handle, target.identity, target.address)
         await self._stopper.stop(run, copy, boot)
         self._settled.add(run.name)
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -98,6 +98,8 @@
         self._reported_entries: dict[str, int] = {}
         self._any_reported = False
         self._copies: dict[str, _ReportedCopy] = {}
+        # Addresses of engines whose processes announce stops.
+        self._announcing: set[str] = set()
         # Start of the engine beside each process, once it was reported.
         self._boots: dict[str, int] = {}
         self._unlisted_since: dict[str, float] = {}
@@ -140,6 +142,7 @@
                 self._reported_entries.pop(address, None)
                 self._copies.pop(address, None)
                 self._boots.pop(address, None)
+                self._announcing.discard(address)
         for link in self._links.values():
             link.check_silence()
 
@@ -338,8 +341,8 @@
                 self.register_engine(message)
             case wire.RunMoved():
                 self._notices.post(_read_notice(message))
-            case wire.StopQuery():
-                self._answer_stop_query(message, link)
+            case wire.StopPolicy() | wire.StopQuery():
+                self._handle_stop(address, message, link)
             case _:
                 self._handle_other(message, link)
 
@@ -353,6 +356,22 @@
             )
         )
 
+    def _handle_stop(
+        self,
+        address: str,
+        message: wire.StopPolicy | wire.StopQuery,
+        link: Link,
+    ) -> None:
+        if isinstance(message, wire.StopQuery):
+            self._answer_stop_query(message, link)
+            return
+        if message.announces_stops:
+            self._announcing.add(address)
+        else:
+            self._announcing.discard(address)
+        for backend in self._backends.list_address(address):
+            backend.announces_stops = message.announces_stops
+
     def _answer_stop_query(self, query: wire.StopQuery, link: Link) -> None:
         """Tell whether a generation may be stopped, if its stream is here."""
         agrees = self._notices.announce_stop(
@@ -399,6 +418,7 @@
             earlier.replaced |= 0 < earlier.record.boot < report.boot
         if backend is None:
             return
+        backend.announces_stops = address in self._announcing
         if backend.state is None:
             log_event('reports_heard', endpoint=backend.name)
         was_stopping = backend.stopping
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -1055,6 +1055,19 @@
     """
 
 
+class StopPolicy(Struct, array_like=True):
+    """
+    Sent first by the process beside an engine to entries that confirm stops.
+    """
+
+    announces_stops: Annotated[
+        bool, Meta(description='Whether it sends a StopQuery before each stop.')
+    ]
+    """
+    Whether it sends a StopQuery before each stop.
+    """
+
+
 class StopQuery(Struct, array_like=True):
     """
     A generation is about to be stopped by a move; the entry that holds its stream answers.
--- a/primrosewood/movequeries.py
+++ b/primrosewood/movequeries.py
@@ -25,7 +25,7 @@
         Sends a message to a few entries.
     announce_stop
         Asks the entry with a link, or all entries without one; the one that
-        holds the stream answers.
+        holds the stream answers. Returns whether any was asked.
     report_copy
         Called with the address of another engine when a copy to it begins, and
         with an empty one when the copy has ended.
@@ -33,7 +33,7 @@
 
     broadcast: Callable[[Message], None]
     query_entries: Callable[[Message], None]
-    announce_stop: Callable[[wire.StopQuery, Link | None], None]
+    announce_stop: Callable[[wire.StopQuery, Link | None], bool]
     report_copy: Callable[[str], None]
 
 
--- a/primrosewood/moves.py
+++ b/primrosewood/moves.py
@@ -34,6 +34,8 @@
 # notice. An engine in the same domain is preferred until one elsewhere has this
 # many more free tokens.
 _SAME_DOMAIN_BONUS_TOKENS = 12000
+# From the announcement of a stop until its order is carried out or given up.
+_LONGEST_STOP_SECONDS = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -278,6 +280,7 @@
         self._received = asyncio.Event()
         self._notice: MoveNotice | None = None
         self._waits_since: float | None = None
+        self._announced_at = 0.0
 
     @property
     def moved(self) -> bool:
@@ -289,6 +292,7 @@
         if self._refuses_stops:
             return False
         self.stop_announced = True
+        self._announced_at = asyncio.get_running_loop().time()
         # It was about an earlier order.
         self._drop_notice()
         return True
@@ -305,12 +309,17 @@
         self._received.set()
 
     def record_event(self) -> None:
-        """Drop a notice that the generation was not moved, as it runs on.
+        """Drop what an event shows to be outdated, as the generation runs on.
 
-        A process beside an engine sends one also after a single failed reading.
+        A process beside an engine sends a notice that it was not moved also
+        after a single failed reading. And it may end before it orders the stop
+        that it has announced.
         """
         if self._notice is not None and self._notice.copy is None:
             self._drop_notice()
+        now = asyncio.get_running_loop().time()
+        if now > self._announced_at + _LONGEST_STOP_SECONDS:
+            self.stop_announced = False
 
     async def wait(self, seconds: float) -> MoveNotice | None:
         """Return the notice, None if none arrives in time.
--- a/primrosewood/peerlink.py
+++ b/primrosewood/peerlink.py
@@ -248,13 +248,18 @@
 
     def announce_stop(
         self, query: wire.StopQuery, holder: Link | None = None
-    ) -> None:
+    ) -> bool:
         """Send a query to the peers that understand it.
 
         Parameters
         ----------
         holder
             Link of the only peer to ask, while it is connected.
+
+        Returns
+        -------
+        bool
+            Whether it was sent to any.
         """
         asked = self._confirming_links
         if holder in asked:
@@ -262,6 +267,7 @@
         encoded = encode_message(query)
         for link in asked:
             link.send_encoded(encoded)
+        return bool(asked)
 
     def send_to_some(
         self, message: Message, limit: int, exclude: Link | None = None
--- a/primrosewood/platform/endpoint.py
+++ b/primrosewood/platform/endpoint.py
@@ -89,6 +89,8 @@
             self._keeper.handle(message, link)
 
     def _make_greeting(self, hello: wire.Hello) -> Iterator[Message]:
+        if hello.confirms_stops:
+            yield wire.StopPolicy(announces_stops=True)
         if self._keeper.last_report is not None:
             yield self._keeper.last_report
         if hello.wants_retries:
--- a/primrosewood/runstops.py
+++ b/primrosewood/runstops.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from dataclasses import replace
 
@@ -70,28 +70,56 @@
         self._confirmation = StopConfirmation()
         # Links of the entries that hold the streams, by generation.
         self._holders: OrderedDict[str, Link] = OrderedDict()
+        self._silent_holders: set[Link] = set()
+        # Generations whose entries may expect a stop, by name.
+        self._announced: dict[str, EngineRun] = {}
+        self._asked = ''
         self._ordered: set[str] = set()
+        # Those that have certainly stopped and may resume here.
+        self._stopped: set[str] = set()
 
     def record_holder(self, name: str, link: Link) -> None:
         """Record the link of the entry that has placed a generation."""
+        self._silent_holders.discard(link)
         self._holders[name] = link
         if len(self._holders) > _MAX_TRACKED:
             self._holders.popitem(last=False)
 
     def may_have_stopped(self, run: EngineRun) -> bool:
-        """Return whether a generation was ordered to stop, and may have."""
-        return run.name in self._ordered
+        """Return whether a generation has stopped or may do so any moment."""
+        return run.name in self._ordered or run.name == self._asked
+
+    def expects_silence(self, run: EngineRun) -> bool:
+        """Return whether the entry of a stream did not answer lately."""
+        return self._holders.get(run.name) in self._silent_holders
 
     def forget_generations(self) -> None:
         """Forget all generations, as the engine has started anew."""
+        self._announced.clear()
         self._ordered.clear()
+        self._stopped.clear()
 
-    def handle(self, reply: wire.StopReply) -> None:
+    def handle(self, reply: wire.StopReply, link: Link | None) -> None:
         """Handle the reply of an entry."""
+        self._silent_holders.discard(link)
         self._confirmation.handle(reply)
 
+    def observe(self, running: Collection[str], boot: int) -> None:
+        """Handle the names of the generations in a new reading.
+
+        The entries of those that have ended by themselves still expect a stop.
+        """
+        ended = self._announced.keys() - running
+        for name in ended:
+            self._withdraw(name, boot)
+
+    def withdraw_all(self, boot: int) -> None:
+        """Tell all entries that what was announced will not happen."""
+        for name in list(self._announced):
+            self._withdraw(name, boot)
+
     async def ask(self, run: EngineRun, boot: int) -> bool:
-        """Return whether a generation may be stopped.
+        """Return whether a generation may be stopped that was just copied.
 
         Until it is told otherwise, its entry then takes the end of the stream
         for the stop.
@@ -108,11 +136,15 @@
         MovePostponedError
             No entry says that it holds the stream.
         """
-        self._confirmation = StopConfirmation(run.name, boot)
-        query = wire.StopQuery(run.name, self._engine.address, boot)
-        # All entries are asked where it is not known or does not answer.
-        self._links.announce_stop(query, self._holders.pop(run.name, None))
-        agrees = await self._confirmation.wait(_CONFIRMATION_SECONDS)
+        if run.name in self._stopped:
+            # As it could be copied, it has resumed here.
+            self._stopped.discard(run.name)
+            self._ordered.discard(run.name)
+        self._asked = run.name
+        try:
+            agrees = await self._ask_holder(run, boot)
+        finally:
+            self._asked = ''
         if agrees is None:
             raise MovePostponedError('no entry confirms the stop')
         if not agrees:
@@ -146,6 +178,7 @@
         try:
             handle = await self._send_order(run, copy.address)
         except RunStoppedError as error:
+            self._stopped.add(run.name)
             self._report_move(
                 run, self._find_kept_copy(error, copy, boot), boot
             )
@@ -161,6 +194,7 @@
 
     def report_stay(self, run: EngineRun, boot: int) -> None:
         """Tell all entries that a generation was not stopped."""
+        self._announced.pop(run.name, None)
         self._metrics.count('moves', 'stays')
         log_decision(
             'not_moved', request=run.name, tokens=run.tokens, events=run.events
@@ -176,6 +210,32 @@
             )
         )
 
+    async def _ask_holder(self, run: EngineRun, boot: int) -> bool | None:
+        """Return the answer of the entry that holds a stream, None without."""
+        holder = self._holders.get(run.name)
+        if holder in self._silent_holders:
+            # Its link may be dead, and it may have another one.
+            holder = None
+        self._confirmation = StopConfirmation(run.name, boot)
+        query = wire.StopQuery(run.name, self._engine.address, boot)
+        if not self._links.announce_stop(query, holder):
+            return None
+        was_announced = run.name in self._announced
+        self._announced[run.name] = run
+        agrees = await self._confirmation.wait(_CONFIRMATION_SECONDS)
+        if agrees is None and holder is not None:
+            self._silent_holders.add(holder)
+        if agrees is False:
+            if was_announced:
+                self.report_stay(run, boot)
+            self._announced.pop(run.name, None)
+        return agrees
+
+    def _withdraw(self, name: str, boot: int) -> None:
+        run = self._announced[name]
+        if not self.may_have_stopped(run):
+            self.report_stay(run, boot)
+
     async def _runs_on(self, error: Exception, boot: int) -> bool:
         """Return whether an answer shows that nothing was stopped.
 
@@ -227,6 +287,7 @@
         return MovedCopy(error.handle, identity, self._engine.address)
 
     def _report_move(self, run: EngineRun, copy: MovedCopy, boot: int) -> None:
+        self._announced.pop(run.name, None)
         self._metrics.count('moves', 'moved')
         log_decision(
             'moved',
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -295,9 +295,9 @@
     async def _answer_last_move(
         self, request: web.BaseRequest, made: dict
     ) -> web.Response:
+        if self.last_moves.refuses_last():
+            return web.json_response(made, status=_SERVICE_UNAVAILABLE)
         match self.last_moves.answer:
-            case LastMove.refused:
-                return web.json_response(made, status=_SERVICE_UNAVAILABLE)
             case LastMove.lost:
                 request.transport.abort()
             case LastMove.silent:
--- a/standins/unframed.py
+++ b/standins/unframed.py
@@ -17,8 +17,10 @@
 
     copied = 'copied'
     late = 'late'
-    # 503 with the handle under which the engine itself keeps the memory.
+    # 503 with the handle under which the engine itself keeps the memory, the
+    # first time for each generation or always.
     refused = 'refused'
+    full = 'full'
     # The connection is closed without an answer.
     lost = 'lost'
     # No answer comes, and the connection stays open.
@@ -40,6 +42,13 @@
     answer: LastMove = LastMove.copied
     stopped: list[str] = field(default_factory=list)
 
+    def refuses_last(self) -> bool:
+        """Return whether the generation that stopped last is not copied."""
+        is_first = self.stopped.count(self.stopped[-1]) == 1
+        return self.answer is LastMove.full or (
+            is_first and self.answer is LastMove.refused
+        )
+
 
 class UnframedResponse:
     """A streamed answer whose end is that of its connection."""
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -9,7 +9,7 @@
 from primrosewood.answerends import AnswerEnds
 from primrosewood.backendstate import Backend, BackendRecord, EngineState
 from primrosewood.callprogress import CallProgress
-from primrosewood.directcalls import AnswerFraming
+from primrosewood.directcalls import AnswerFraming, BackendAttempt
 from primrosewood.entrycount import EntryCount
 from primrosewood.errors import ErrorKind, RequestFailedError
 from primrosewood.moves import MoveNotices
@@ -169,6 +169,9 @@
         self.assertEqual([False], self.stops)
 
 
+_IDLE = EngineState(total_tokens=30_000)
+
+
 class _Probe:
     """Looks for engines, which takes some seconds."""
 
@@ -194,15 +197,17 @@
         """Return the most seconds by which an answer was held back."""
         return run_virtual(self._wait(_Probe(probe_seconds), framing, answers))
 
-    async def _wait(self, probe, framing, answers):
+    async def _wait(self, probe, framing, answers, state=_IDLE):
         clock = LoopClock()
         ends = AnswerEnds(_Engines(), probe, clock)
         record = BackendRecord('e1', 's', 'e1:80', 'd1', 8, boot=_BOOT)
         backend = Backend(record, ColdLimit(EntryCount(1)))
         notices = MoveNotices()
         longest = 0
+        backend.announces_stops = True
         for _ in range(answers):
-            backend.update_state(EngineState(), clock.monotonic())
+            if state is not None:
+                backend.update_state(state, clock.monotonic())
             progress = CallProgress(make_call(RouteKind.streaming, 0))
             progress.framing = framing
             with notices.follow('ab12', record) as awaited:
@@ -216,6 +221,18 @@
         seconds = self.find_longest_wait(0.002, AnswerFraming.close)
         self.assertLessEqual(seconds, _AT_ONCE_SECONDS)
 
+    def test_process_beside_the_engine_is_silent(self):
+        """Guards against whole answers that wait as no reports come."""
+        probe = _Probe(0.002)
+        wait = self._wait(probe, AnswerFraming.close, 500, state=None)
+        self.assertLessEqual(run_virtual(wait), _AT_ONCE_SECONDS)
+
+    def test_engine_that_leaves(self):
+        """Guards against whole answers that wait though no stop came."""
+        leaving = EngineState(leaving=True, total_tokens=30_000)
+        wait = self._wait(_Probe(0.002), AnswerFraming.close, 500, leaving)
+        self.assertLessEqual(run_virtual(wait), _AT_ONCE_SECONDS)
+
     def test_engine_that_does_not_answer(self):
         """Guards against a look at the engine that holds up the answer."""
         seconds = self.find_longest_wait(60, AnswerFraming.close)
@@ -227,6 +244,24 @@
         self.assertEqual(0, seconds)
 
 
+class OutdatedAnnouncementTest(_ClosedStreamTestCase):
+    """Announced stops that are not carried out."""
+
+    async def test_events_long_after_an_announcement(self):
+        """Guards against whole streams broken off as a process was killed.
+
+        It had announced the stop and not ordered it.
+        """
+        record = BackendRecord('e1', 's', 'e1:80', 'd1', 8, boot=_BOOT)
+        with self.notices.follow('ab12', record) as awaited:
+            self.notices.announce_stop('ab12', 'e1:80', _BOOT)
+            awaited.record_event()
+            self.assertTrue(awaited.stop_announced)
+            with mock.patch('primrosewood.moves._LONGEST_STOP_SECONDS', -1):
+                awaited.record_event()
+            self.assertFalse(awaited.stop_announced)
+
+
 class UnannouncedCloseTest(_ClosedStreamTestCase):
     """No stop was announced before the stream was closed."""
 
@@ -280,3 +315,47 @@
         with self.assertRaises(RequestFailedError):
             await self.relay.answer(self.call, self.sink)
         self.assertEqual(b'', self.sink.body)
+
+    async def test_part_of_one_that_an_older_process_stopped(self):
+        """Guards against a part that gets a length of its own."""
+        self.report()
+
+        def end(backend_attempt):
+            self.report(leaving=True)
+            notice = make_notice(backend_attempt, 'e2:80')
+            asyncio.get_running_loop().call_later(
+                0.02, self.notices.post, notice
+            )
+
+        self.end = end
+        call = self.make_call(RouteKind.non_idempotent)
+        with self.assertRaises(RequestFailedError):
+            await self.relay.answer(call, self.sink)
+
+
+class TakeBackTest(_ClosedStreamTestCase):
+    """Streams that go back to the engine that stopped them."""
+
+    async def test_take_back_after_the_time_for_drained_engines(self):
+        """Guards against a stream sent to an engine 2 s after it drained."""
+        self.report()
+        engine = self.backends.find('e1')
+        began = self.clock.monotonic()
+        # The record that states it was read just after one recheck; the next
+        # one, a second later, notes it.
+        self.backends.note_unusable(began)
+        self.backends.apply_record(
+            replace(engine.record, draining=True), began + 0.01
+        )
+        self.backends.note_unusable(began + 1.0)
+        engine = self.backends.find('e1')
+        attempt = BackendAttempt(engine)
+        notice = make_notice(attempt, 'e1:80')
+        progress = CallProgress(self.make_call(RouteKind.streaming))
+        with mock.patch.object(
+            self.placement, '_now', return_value=began + 2.1
+        ):
+            with self.assertRaises(RequestFailedError):
+                await self.placement.find_resuming(
+                    progress, notice.copy, at_source=True
+                )
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -35,6 +35,7 @@
     wire.ClaimReply('a', None),
     wire.StopQuery('a', 'h:1', 7),
     wire.StopReply('a', 7, agrees=True),
+    wire.StopPolicy(announces_stops=True),
 ]
 
 
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -74,6 +74,7 @@
         self.asked.append(holder)
         for reply in self.confirm(query):
             self.keeper.handle(reply, None)
+        return True
 
     def send_to_some(self, message, limit, exclude=None):
         self.limited.append(message)
--- a/tests/test_platform_last_moves.py
+++ b/tests/test_platform_last_moves.py
@@ -107,6 +107,13 @@
         received = await self.leave(LastMove.refused)
         self.assertTrue(all(each.whole for each in received))
 
+    async def test_engine_refuses_each_copy(self):
+        """Guards against a part that looks complete as it can go back no more.
+
+        An engine that leaves takes a stream back for a moment only.
+        """
+        await self.leave(LastMove.full)
+
     async def test_answer_to_the_order_is_lost(self):
         """Guards against a stopped run of which no entry is told."""
         received = await self.leave(LastMove.lost)
--- a/tests/test_run_stops.py
+++ b/tests/test_run_stops.py
@@ -241,3 +241,126 @@
         self.engine.read = read
         await self.wait_for(lambda: self.keeper.found is None)
         self.assertNotIn('', [each.handle for each in self.list_notices()])
+
+
+class AskedRunTest(KeeperTestCase):
+    """What entries are told of runs whose stop was asked for."""
+
+    make_engine = _LeavingEngine
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.server.answers = [CAPACITY_REPLY]
+        await self.wait_for(lambda: self.keeper.found is not None)
+        self.told = []
+        broadcast, copy = self.server.broadcast, self.engine.copy
+
+        def record(message, exclude=()):
+            if isinstance(message, wire.RunMoved):
+                kind = 'moved' if message.handle else 'stay'
+                self.told.append((message.attempt, kind))
+            broadcast(message, exclude)
+
+        async def record_copy(run, target, last):
+            if last:
+                self.told.append((run.name, 'order'))
+            return await copy(run, target, last)
+
+        self.server.broadcast = record
+        self.engine.copy = record_copy
+
+    def list_told(self, name='small'):
+        return [kind for each, kind in self.told if each == name]
+
+    async def test_reading_fails_while_the_entry_is_asked(self):
+        """Guards against "not moved" that is followed by the stop itself."""
+
+        def confirm(query):
+            self.told.append((query.attempt, 'asked'))
+            reply = wire.StopReply(query.attempt, query.boot, agrees=True)
+            self.engine.gone = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.15, self.keeper.handle, reply, None)
+            return []
+
+        self.server.confirm = confirm
+        self.engine.leaving = True
+        await self.wait_for(lambda: 'asked' in self.list_told())
+        await asyncio.sleep(0.4)
+        kinds = self.list_told()
+        last_word = [kind for kind in kinds if kind in {'asked', 'stay'}]
+        if 'order' in kinds:
+            self.assertEqual('asked', last_word[-1], kinds)
+
+    async def test_run_ends_after_an_unanswered_question(self):
+        """Guards against a whole stream that is broken off for good."""
+        self.server.confirm = lambda query: []
+        self.engine.leaving = True
+        await self.wait_for(lambda: self.server.announced)
+        await asyncio.sleep(0.3)
+        self.engine.runs.clear()
+        await asyncio.sleep(0.5)
+        self.assertNotIn('order', self.list_told())
+        self.assertIn('stay', self.list_told())
+
+    async def test_question_is_declined_after_an_unanswered_one(self):
+        """Guards against an ended stream that waits for an order in vain."""
+        replies = []
+
+        def confirm(query):
+            replies.append(query.attempt)
+            if query.attempt != 'small' or replies.count('small') < 2:
+                return []
+            return [wire.StopReply(query.attempt, query.boot, agrees=False)]
+
+        self.server.confirm = confirm
+        self.engine.leaving = True
+        await self.wait_for(lambda: replies.count('small') > 1)
+        await asyncio.sleep(0.2)
+        self.assertNotIn('order', self.list_told())
+        self.assertIn('stay', self.list_told())
+
+    async def test_run_that_resumed_at_its_engine_ends_there(self):
+        """Guards against a whole stream that is sent to an old copy."""
+        self.engine.runs = [EngineRun('small', 2000, 9)]
+        self.engine.answers = [
+            RunStoppedError('kept', 'status 503'),
+            NotRunError(ErrorKind.answer_expired),
+        ]
+        self.engine.leaving = True
+        await self.wait_for(lambda: self.list_told()[-1:] == ['moved'])
+        self.engine.runs.append(EngineRun('small', 2000, 9))
+        await self.wait_for(lambda: self.list_told().count('order') > 1)
+        await asyncio.sleep(0.2)
+        self.assertEqual(['order', 'moved', 'order', 'stay'], self.list_told())
+
+    async def test_process_stops_after_an_unanswered_question(self):
+        """Guards against a whole stream that waits for a process that ended."""
+        self.server.confirm = lambda query: []
+        self.engine.leaving = True
+        await self.wait_for(lambda: self.server.announced)
+        await asyncio.sleep(0.3)
+        self.keeper.stop_moves()
+        self.assertIn('stay', self.list_told())
+        self.assertNotIn('order', self.list_told())
+
+    async def test_streams_of_a_silent_entry_come_last(self):
+        """Guards against one frozen entry that uses up the notice of others."""
+        for name in ('a', 'b', 'c', 'd'):
+            self.engine.runs.append(EngineRun(name, 1000, 3))
+            call = wire.CallPlaced(name, 0, 5000)
+            self.keeper.handle(call, 'link of a frozen entry')
+        self.server.confirm = lambda query: [
+            wire.StopReply(query.attempt, query.boot, agrees=True)
+        ][: query.attempt in {'big', 'small'}]
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.server.moves()) == 2)
+        asked = [query.attempt for query in self.server.announced]
+        self.assertEqual(['a', 'small', 'big'], asked[:3])
+
+    async def test_no_entry_understands_the_question(self):
+        """Guards against a wait for replies of older processes."""
+        self.server.announce_stop = lambda query, holder=None: False
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(self.engine.copies) > 1)
+        self.assertEqual([], self.list_told())
