Admit plain calls late in a stop by recent answer times, not by the objective

What callers saw: in the planned stop of one entry, plain calls that came late were passed on and cut as the stop ended, among them calls that may not be repeated. The caller got a 502, which promises nothing.

Cause: a plain call was admitted while its route's objective fitted into the remaining time. The objective says what is on time, not how long a slow back end takes, which is up to the route's timeout. A route without an objective (0) admitted calls until the very end.

Ruled out: a bound by the route's timeout alone. Where all entries are restarted in turn it would refuse every plain call for most of the stop, although nearly all are answered in a fraction of the objective.

Change: the relay keeps the longest recent answer time of each route and service; calls in progress count with their age, so that a service that hangs is seen. Without recent calls the objective decides, for repeatable calls only. The refusal is a 503 with Retry-After, at once. The decision's log line has the time as `recent`.

--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -152,7 +152,10 @@
         # Reading the body may have taken long, so the time is read again.
         admission_time = self._clock.monotonic()
         if self.stop.begun and not self.stop.admits(
-            call, self._relay.estimate_answer_tokens(call), admission_time
+            call,
+            self._relay.estimate_answer_tokens(call),
+            admission_time,
+            self._relay.find_longest_answer(call),
         ):
             raise RequestFailedError(
                 ErrorKind.leaving,
--- a/primrosewood/relay.py
+++ b/primrosewood/relay.py
@@ -7,6 +7,7 @@
 
 from .answerends import AnswerEnds
 from .answermemory import AnswerMemory, HeldAnswer, require_stream_size
+from .answertimes import AnswerTimes
 from .backendstate import Backend
 from .balancing import Reservation
 from .callplacement import CallPlacement
@@ -77,6 +78,7 @@
         self._deps = dependencies
         self._placement = dependencies.placement
         self._timers = TimerGroup()
+        self._answer_times = AnswerTimes(dependencies.clock)
         self._ends = AnswerEnds(
             dependencies.placement, dependencies.transport, dependencies.clock
         )
@@ -111,6 +113,15 @@
         """Return the expected number of tokens in a call's answer."""
         return self._placement.estimate_answer_tokens(call)
 
+    def find_longest_answer(self, call: DirectCall) -> float | None:
+        """Return the longest recent answer time of calls like a plain one.
+
+        Returns
+        -------
+            Seconds, None for streams and if there were no such calls.
+        """
+        return self._answer_times.find_longest(call)
+
     def _make_timeout_failure(
         self, progress: CallProgress
     ) -> RequestFailedError:
@@ -133,7 +144,8 @@
         self, progress: CallProgress, sink: AnswerSink
     ) -> None:
         with self._deps.answers.open() as held:
-            head, body = await self._fetch_from_any(progress, held)
+            with self._answer_times.measure(progress.call):
+                head, body = await self._fetch_from_any(progress, held)
             await sink.begin(head)
             await sink.write(body)
 
--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -15,6 +15,8 @@
 # Slow decoding: beside the prefill of other prompts, or on an engine that has
 # just started.
 _SLOW_TOKEN_SECONDS = 2 * TOKEN_SECONDS
+# Time to pass an answer on that comes just as its call's deadline passes.
+_DEADLINE_MARGIN_SECONDS = 0.2
 # Retry-After early in a stop, when the load balancer may have another entry.
 _RETRY_ELSEWHERE_SECONDS = 0.05
 # From the end of the process until the platform has restarted it and the load
@@ -47,6 +49,9 @@
     no time remains to make up for it: the caller would get part of an answer
     instead of a refusal that it may retry.
 
+    A plain call is admitted if its deadline passes before the end, or if
+    recent calls like it were answered within a part of the remaining time.
+
     Attributes
     ----------
     seconds
@@ -85,7 +90,13 @@
         """End the window, as the process exits now; admit no more calls."""
         self._ends_at = now
 
-    def admits(self, call: DirectCall, answer_tokens: int, now: float) -> bool:
+    def admits(
+        self,
+        call: DirectCall,
+        answer_tokens: int,
+        now: float,
+        recent_seconds: float | None = None,
+    ) -> bool:
         """Return whether a call may begin; log the decision during a stop.
 
         Parameters
@@ -96,11 +107,17 @@
             Expected length of its answer in tokens.
         now
             Monotonic seconds.
+        recent_seconds
+            Longest recent answer time of plain calls like this one, None if
+            there were none.
         """
         if self._ends_at is None:
             return True
         left = self._ends_at - now
-        why = self._decide(call, answer_tokens, now)
+        if call.route.streaming:
+            why = self._decide(call, answer_tokens, now)
+        else:
+            why = self._decide_plain(call, now, recent_seconds)
         size = call.size
         log_decision(
             'judged_while_stopping',
@@ -113,6 +130,7 @@
             most=size.max_answer_tokens if size else None,
             prompt=size.prompt_tokens if size else None,
             left=left,
+            recent=recent_seconds,
         )
         return why != _TOO_LONG
 
@@ -146,13 +164,26 @@
         begun = self._ends_at is not None and call.route.streaming
         return begun and admitted_at >= self._balancer_noticed_at
 
-    def _decide(self, call: DirectCall, answer_tokens: int, now: float) -> str:
-        """Return the reason to admit a call, or `_TOO_LONG` to refuse it."""
+    def _decide_plain(
+        self, call: DirectCall, now: float, recent_seconds: float | None
+    ) -> str:
+        """Return the reason to admit a plain call, or `_TOO_LONG`."""
         left = self._ends_at - now
-        if not call.route.streaming:
-            # Plain calls rarely take longer than their route's objective.
-            return _PLAIN if left >= call.route.objective else _TOO_LONG
-        left *= _USABLE_SHARE
+        limit = min(call.deadline, call.caller_deadline) - now
+        if 0 < limit <= left - _DEADLINE_MARGIN_SECONDS:
+            return _PLAIN
+        needed = call.route.objective
+        if recent_seconds is not None:
+            needed = max(needed, recent_seconds / _USABLE_SHARE)
+        elif not (needed and call.route.repeatable):
+            # Without recent calls, only the objective says how long such
+            # calls usually take; a call that is cut must be repeatable then.
+            return _TOO_LONG
+        return _PLAIN if left >= needed else _TOO_LONG
+
+    def _decide(self, call: DirectCall, answer_tokens: int, now: float) -> str:
+        """Return the reason to admit a stream, or `_TOO_LONG`."""
+        left = (self._ends_at - now) * _USABLE_SHARE
         if left <= 0:
             return _TOO_LONG
         if now >= self._balancer_noticed_at:
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 from loguru import logger
+from msgspec import structs
 
 from primrosewood.httpserver import stop_listening
 from primrosewood.platform import draining
@@ -116,6 +117,40 @@
         self.assertEqual(5, body.count(b'data:'))
 
 
+class LatePlainCallTest(Deployment):
+    """Plain calls that arrive late in a stop, at a service that is slow."""
+
+    limits = structs.replace(LIMITS, stop_seconds=6)
+
+    async def refuse_late(self, method, path):
+        """Call while an earlier call has waited 2.85 s for its answer."""
+        self.service.seconds = 3.5
+        earlier_call = asyncio.create_task(self.call(method, path, name='ff00'))
+        await self.wait_for(self.has_run)
+        self.stop.set()
+        await asyncio.sleep(_AFTER_DETECTION_SECONDS)
+        response, _body = await self.call(method, path, data=b'asked')
+        self.assertEqual(503, response.status)
+        self.assertIn('Retry-After', response.headers)
+        self.assertEqual(['ff00'], [call.name for call in self.service.ran])
+        self.assertEqual(200, (await earlier_call)[0].status)
+
+    async def has_run(self):
+        return bool(self.service.ran)
+
+    async def test_call_that_may_not_be_repeated(self):
+        """Guards against a call that is passed on and cut as the stop ends.
+
+        More than the route's objective of 0.5 s is left, but the service
+        takes 3.5 s.  The caller got an error that forbids another try.
+        """
+        await self.refuse_late('POST', '/issue/')
+
+    async def test_call_that_may_be_repeated(self):
+        """The same; the caller may try elsewhere at once."""
+        await self.refuse_late('GET', '/lookup/')
+
+
 class SlowBodyTest(Deployment):
     """Requests whose body arrives during a stop."""
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -5,6 +5,7 @@
 9 ms per token, and 14,000 prompt tokens are prefilled per second.
 """
 
+import dataclasses
 import unittest
 
 from loguru import logger
@@ -17,11 +18,16 @@
     'r', 'h', '/', RouteKind.streaming, (Target('s'),), 39, 1.8
 )
 PLAIN_ROUTE = Route('p', 'h', '/', RouteKind.idempotent, (Target('s'),), 4, 0.4)
+ISSUE_ROUTE = Route(
+    'i', 'h', '/', RouteKind.non_idempotent, (Target('s'),), 4, 0.4
+)
 
 SIZE = GenerationSize(3000, 2000)
 
 
-def make_call(name='a', size=SIZE, target='/x', route=STREAMING_ROUTE):
+def make_call(
+    name='a', size=SIZE, target='/x', route=STREAMING_ROUTE, deadline=39
+):
     return DirectCall(
         name=name,
         method='POST',
@@ -32,8 +38,8 @@
         service='s',
         organisation='o',
         arrived=0,
-        deadline=39,
-        caller_deadline=39,
+        deadline=deadline,
+        caller_deadline=deadline,
         size=size,
     )
 
@@ -87,6 +93,43 @@
         self.assertFalse(self.window.admits(call, 0, 107.7))
         self.assertFalse(self.window.admits(call, 0, 108.1))
 
+    def test_plain_call_to_a_slow_service(self):
+        """Calls like it have taken 1.5 s, far over their objective of 0.4 s.
+
+        Guards against admission by the objective alone: the call was passed
+        on and cut when the process ended.
+        """
+        self.window.begin(100)
+        for route in (PLAIN_ROUTE, ISSUE_ROUTE):
+            call = make_call(size=None, route=route)
+            self.assertTrue(self.window.admits(call, 0, 105, 1.5))
+            self.assertFalse(self.window.admits(call, 0, 107, 1.5))
+            self.assertTrue(self.window.admits(call, 0, 107, 0.1))
+
+    def test_plain_call_without_an_objective(self):
+        """A route states no objective, and so no usual answer time.
+
+        Guards against an objective of 0 that admits calls until the very end.
+        """
+        self.window.begin(100)
+        route = dataclasses.replace(PLAIN_ROUTE, objective=0)
+        call = make_call(size=None, route=route)
+        self.assertFalse(self.window.admits(call, 0, 107.9))
+        self.assertFalse(self.window.admits(call, 0, 107.9, 0.1))
+        self.assertTrue(self.window.admits(call, 0, 107.5, 0.1))
+
+    def test_plain_call_that_may_not_be_repeated(self):
+        """No recent call shows how long its service takes.
+
+        Guards against a cut of a call whose caller may not repeat it.  It is
+        admitted if its time is over before the process ends.
+        """
+        self.window.begin(100)
+        call = make_call(size=None, route=ISSUE_ROUTE, deadline=106)
+        self.assertTrue(self.window.admits(call, 0, 102))
+        late = make_call(size=None, route=ISSUE_ROUTE, deadline=110)
+        self.assertFalse(self.window.admits(late, 0, 106))
+
     def test_stream_of_unknown_size(self):
         """A caller does not state the greatest length of its answer.
 
