Leave room for answers longer than expected early in a stop

Cause: early in a stop a stream was admitted if its expected length took at most 0.7 of the remaining time. The expected length is the caller's hint, which is right at the median: half of all answers are longer.

Weighed: a refusal costs one more attempt, which another entry answers; if there is none, the retry is admitted here. A cut costs the whole answer.

Change: twice the expected length has to fit, at most the greatest length.

Tests: test_answer_longer_than_its_hint failed before. The lengths in test_only_streams_that_end_in_time asserted the missing margin; they are now 250 and 350 in place of 500 and 700, with the same three cases. SlowBodyTest keeps its meaning with a hint of 40 in place of 100: a length that would be admitted at the time of the head, which the longer one would no longer be.

--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -12,6 +12,9 @@
 # Share of the remaining time that an admitted stream may take, by its expected
 # length early in a stop and by its greatest length late.
 _USABLE_SHARE = 0.7
+# Answers are assumed to be so many times as long as expected early in a stop:
+# half of all length hints are too low.
+_LENGTH_MARGIN = 2
 # Slow decoding: beside the prefill of other prompts, or on an engine that has
 # just started.
 _SLOW_TOKEN_SECONDS = 2 * TOKEN_SECONDS
@@ -37,17 +40,17 @@
     caller ends with this process.
 
     Until the load balancer notices the stop, calls arrive as usual and much
-    time remains.  A stream that is expected to outlive the process is refused
-    at once, with a Retry-After so short that another entry can still answer
-    on time.  If the balancer has no other entry, the caller's retry arrives
-    here again; it is admitted, as a stream that may be cut is better than
-    none.
+    time remains.  A stream that would outlive the process if it were somewhat
+    longer than expected is refused at once, with a Retry-After so short that
+    another entry can still answer on time.  If the balancer has no other
+    entry, the caller's retry arrives here again; it is admitted, as a stream
+    that may be cut is better than none.
 
     After that, only a stream that fits even at its greatest length is
     admitted, and its answer is buffered and sent complete or not at all.
-    Half of all length hints are too low, some by far, and in the last seconds
-    no time remains to make up for it: the caller would get part of an answer
-    instead of a refusal that it may retry.
+    Some length hints are too low by far, and in the last seconds no time
+    remains to make up for it: the caller would get part of an answer instead
+    of a refusal that it may retry.
 
     A plain call is admitted if its deadline passes before the end, or if
     recent calls like it were answered within a part of the remaining time.
@@ -202,7 +205,10 @@
 
 
 def _expected_seconds(size: GenerationSize | None, answer_tokens: int) -> float:
-    return _prompt_seconds(size) + answer_tokens * TOKEN_SECONDS
+    tokens = answer_tokens * _LENGTH_MARGIN
+    if size is not None and size.max_answer_tokens:
+        tokens = min(tokens, size.max_answer_tokens)
+    return _prompt_seconds(size) + tokens * TOKEN_SECONDS
 
 
 def _longest_seconds(size: GenerationSize | None) -> float:
--- a/tests/test_platform_stopping.py
+++ b/tests/test_platform_stopping.py
@@ -167,7 +167,7 @@
         headers = {
             **GENERATION_HEADERS,
             'Primrosewood-Token-Usage': '1000,2000',
-            'Primrosewood-Length-Hint': '100',
+            'Primrosewood-Length-Hint': '40',
         }
         self.stop.set()
         await asyncio.sleep(2)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -56,10 +56,24 @@
 
     def test_only_streams_that_end_in_time(self):
         self.window.begin(100)
-        self.assertTrue(self.window.admits(make_call(), 500, 100))
-        self.assertFalse(self.window.admits(make_call(), 700, 100))
+        self.assertTrue(self.window.admits(make_call(), 250, 100))
+        self.assertFalse(self.window.admits(make_call(), 350, 100))
         later = make_call(target='/y')
-        self.assertFalse(self.window.admits(later, 500, 102))
+        self.assertFalse(self.window.admits(later, 250, 102))
+
+    def test_answer_longer_than_its_hint(self):
+        """Callers expect 505 tokens, and 254 tokens a second later.
+
+        Guards against an expected length that leaves no room for the half of
+        all answers that are longer: both had 800 tokens and were cut.  An
+        answer that is limited to little more than its hint is admitted.
+        """
+        self.window.begin(100)
+        call = make_call(target='/y')
+        self.assertFalse(self.window.admits(call, 505, 100))
+        self.assertFalse(self.window.admits(make_call(), 254, 101.3))
+        limited = make_call(size=GenerationSize(3000, 350), target='/z')
+        self.assertTrue(self.window.admits(limited, 254, 101.3))
 
     def test_late_stream_is_buffered(self):
         """A short stream is admitted late, begins, and its engine stalls.
