Test the end of an entry's process with calls in progress

A run with 40 repeatable calls and 40 that may not be repeated, at a service that hangs, shows a whole 502 for all 80 before the process exits with 0. No fault was found there, so no code changes.

--- a/tests/processes/test_platform_entry_stop.py
+++ b/tests/processes/test_platform_entry_stop.py
@@ -1,6 +1,7 @@
-"""A slow reader gets its whole answer although its entry is stopped."""
+"""Answers that are in progress as the process of an entry is stopped."""
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -31,6 +32,10 @@
 # More than the kernel buffers.
 _PROBE_BYTES = 16_000_000
 _SMALL_BUFFER_BYTES = 4096
+# Longer than a stop, also if it begins late.
+_ROUTE_TIMEOUT_MS = 20_000
+# Of each method.
+_PENDING_CALLS = 40
 
 
 async def _connect_slowly(host, port):
@@ -65,8 +70,8 @@
     return buffered
 
 
-class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
-    """An answer that is written completely but not yet read."""
+class _EntryProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Runs an entry as a process, with one plain service."""
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -81,13 +86,17 @@
         host, _, port = address.partition(':')
         await web.TCPSite(runner, host, int(port)).start()
 
-    async def serve_all(self, body):
+    async def serve_all(self, service):
         address = f'127.0.0.1:{free_port()}'
-        service = web.Server(ServiceStandIn('i-desk', body).handle)
-        await self.serve(web.ServerRunner(service), address)
+        server = web.Server(service.handle)
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self.serve(runner, address)
         stand_in = StoreStandIn()
+        table = make_table()
+        for route in table['routes']:
+            route['timeout_ms'] = _ROUTE_TIMEOUT_MS
         for key, document in (
-            ('op/config', make_table()),
+            ('op/config', table),
             ('servers/i-desk', make_record('desk', address)),
         ):
             await stand_in.store.put(key, json.dumps(document).encode())
@@ -127,6 +136,10 @@
         except aiohttp.ClientConnectorError:
             return False
 
+
+class SlowReaderTest(_EntryProcessTest):
+    """An answer that is written completely but not yet read."""
+
     async def send_request(self):
         """Request the long answer and return a reader after its head."""
         address = self.settings['entry']['callers']
@@ -150,7 +163,7 @@
         An entry that exits as soon as no request is left would drop them.
         """
         body = bytes(await _measure_kernel_buffers() + _EVENT_LOOP_BYTES)
-        await self.serve_all(body)
+        await self.serve_all(ServiceStandIn('i-desk', body))
         process = await self.start()
         reader = await self.send_request()
         process.send_signal(signal.SIGTERM)
@@ -160,3 +173,47 @@
             received += len(chunk)
         self.assertEqual(len(body), received)
         self.assertEqual(0, await process.wait())
+
+
+class EndOfStopTest(_EntryProcessTest):
+    """Calls that are still in progress when the process ends."""
+
+    async def call(self, method, path):
+        address = self.settings['entry']['callers']
+        async with aiohttp.request(
+            method,
+            f'http://{address}{path}',
+            headers={
+                'Host': 'h.example',
+                'Primrosewood-Attempt-Id': f'ab{next(self.numbers)}',
+                'Primrosewood-Deadline-Ms': '20000',
+                'Authorization': 'Bearer key-1',
+            },
+        ) as response:
+            await response.read()
+            return response.status
+
+    async def all_run(self):
+        async with asyncio.timeout(_START_TIMEOUT_SECONDS):
+            while len(self.service.ran) < 2 * _PENDING_CALLS:
+                await asyncio.sleep(0.05)
+
+    async def test_service_that_hangs(self):
+        """Guards against a process that ends before its errors are sent.
+
+        Some calls may be repeated and some not; their service hangs until the
+        stop ends.  A closed connection would look like a network failure.
+        """
+        self.numbers = itertools.count()
+        self.service = ServiceStandIn('i-desk')
+        self.service.seconds = 30
+        await self.serve_all(self.service)
+        process = await self.start()
+        calls = asyncio.gather(
+            *(self.call('GET', '/lookup/1') for _ in range(_PENDING_CALLS)),
+            *(self.call('POST', '/issue/1') for _ in range(_PENDING_CALLS)),
+        )
+        await self.all_run()
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual({502}, set(await calls))
+        self.assertEqual(0, await process.wait())
