--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -5,6 +5,7 @@
 9 ms per token, and 14,000 prompt tokens are prefilled per second.
 """
 
+import dataclasses
 import unittest
 
 from loguru import logger
@@ -17,11 +18,16 @@
     'r', 'h', '/', RouteKind.streaming, (Target('s'),), 39, 1.8
 )
 PLAIN_ROUTE = Route('p', 'h', '/', RouteKind.idempotent, (Target('s'),), 4, 0.4)
+ISSUE_ROUTE = Route(
+    'i', 'h', '/', RouteKind.non_idempotent, (Target('s'),), 4, 0.4
+)
 
 SIZE = GenerationSize(3000, 2000)
 
 
-def make_call(name='a', size=SIZE, target='/x', route=STREAMING_ROUTE):
+def make_call(
+    name='a', size=SIZE, target='/x', route=STREAMING_ROUTE, deadline=39
+):
     return DirectCall(
         name=name,
         method='POST',
@@ -32,8 +38,8 @@
         service='s',
         organisation='o',
         arrived=0,
-        deadline=39,
-        caller_deadline=39,
+        deadline=deadline,
+        caller_deadline=deadline,
         size=size,
     )
 
@@ -50,10 +56,24 @@
 
     def test_only_streams_that_end_in_time(self):
         self.window.begin(100)
-        self.assertTrue(self.window.admits(make_call(), 500, 100))
-        self.assertFalse(self.window.admits(make_call(), 700, 100))
+        self.assertTrue(self.window.admits(make_call(), 250, 100))
+        self.assertFalse(self.window.admits(make_call(), 350, 100))
         later = make_call(target='/y')
-        self.assertFalse(self.window.admits(later, 500, 102))
+        self.assertFalse(self.window.admits(later, 250, 102))
+
+    def test_answer_longer_than_its_hint(self):
+        """Callers expect 505 tokens, and 254 tokens a second later.
+
+        Guards against an expected length that leaves no room for the half of
+        all answers that are longer: both had 800 tokens and were cut.  An
+        answer that is limited to little more than its hint is admitted.
+        """
+        self.window.begin(100)
+        call = make_call(target='/y')
+        self.assertFalse(self.window.admits(call, 505, 100))
+        self.assertFalse(self.window.admits(make_call(), 254, 101.3))
+        limited = make_call(size=GenerationSize(3000, 350), target='/z')
+        self.assertTrue(self.window.admits(limited, 254, 101.3))
 
     def test_late_stream_is_buffered(self):
         """A short stream is admitted late, begins, and its engine stalls.
@@ -87,6 +107,43 @@
         self.assertFalse(self.window.admits(call, 0, 107.7))
         self.assertFalse(self.window.admits(call, 0, 108.1))
 
+    def test_plain_call_to_a_slow_service(self):
+        """Calls like it have taken 1.5 s, far over their objective of 0.4 s.
+
+        Guards against admission by the objective alone: the call was passed
+        on and cut when the process ended.
+        """
+        self.window.begin(100)
+        for route in (PLAIN_ROUTE, ISSUE_ROUTE):
+            call = make_call(size=None, route=route)
+            self.assertTrue(self.window.admits(call, 0, 105, 1.5))
+            self.assertFalse(self.window.admits(call, 0, 107, 1.5))
+            self.assertTrue(self.window.admits(call, 0, 107, 0.1))
+
+    def test_plain_call_without_an_objective(self):
+        """A route states no objective, and so no usual answer time.
+
+        Guards against an objective of 0 that admits calls until the very end.
+        """
+        self.window.begin(100)
+        route = dataclasses.replace(PLAIN_ROUTE, objective=0)
+        call = make_call(size=None, route=route)
+        self.assertFalse(self.window.admits(call, 0, 107.9))
+        self.assertFalse(self.window.admits(call, 0, 107.9, 0.1))
+        self.assertTrue(self.window.admits(call, 0, 107.5, 0.1))
+
+    def test_plain_call_that_may_not_be_repeated(self):
+        """No recent call shows how long its service takes.
+
+        Guards against a cut of a call whose caller may not repeat it.  It is
+        admitted if its time is over before the process ends.
+        """
+        self.window.begin(100)
+        call = make_call(size=None, route=ISSUE_ROUTE, deadline=106)
+        self.assertTrue(self.window.admits(call, 0, 102))
+        late = make_call(size=None, route=ISSUE_ROUTE, deadline=110)
+        self.assertFalse(self.window.admits(late, 0, 106))
+
     def test_stream_of_unknown_size(self):
         """A caller does not state the greatest length of its answer.
 
