Reset connections whose answer without a length or chunks is incomplete

What callers saw: a caller on HTTP/1.0 of an entry of the users' platform got a part of an answer with a clean close, which is how a whole answer ends for it: where the engine crashed in a stream, where a stop of the entry ended, where its task was cancelled, where a stop dropped bytes that a slow caller had yet to read, and after an unexpected error. After such an error a caller on HTTP/1.1 waited on (5 s and more) for the rest of its stream.

And an unexpected error (any other than RequestFailedError) was answered with a status although an answer had begun.

Before an answer to a caller on HTTP/1.0 begins, its socket is set to be reset by any close (SO_LINGER with 0 s), and set back only once all of the answer has left this process. Aborting resets too, for every version. Any error after the begin of an answer aborts.

Ruled out: to set the linger time only where the entry aborts, as a cancelled handler, unsent bytes at the end and a killed process pass by that place.

--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -11,6 +11,11 @@
 
 from ..bodymemory import BodyMemory, HeldBody
 from ..clock import Clock, RandomSource
+from ..connectionends import (
+    close_when_sent,
+    reset_connection,
+    reset_unless_complete,
+)
 from ..directcalls import AnswerHead, DirectCall, Header
 from ..errors import ErrorKind, RequestFailedError
 from ..identity import parse_bearer_key
@@ -108,6 +113,7 @@
             return web.Response()
         except ConnectionError:
             self._record_disconnect(request)
+            reset_connection(request.transport)
             return web.Response()
         except asyncio.CancelledError:
             self._record_disconnect(request)
@@ -165,9 +171,12 @@
         )
         try:
             await self._relay.answer(call, writer)
-        except RequestFailedError:
+        except ConnectionError:
+            raise
+        except Exception as error:
             if not writer.begun:
                 raise
+            _log_unless_expected(error)
             writer.abort()
         return await writer.end()
 
@@ -312,7 +321,7 @@
         self._close_if_stopping(response)
         self._response = response
         if not self._must_buffer():
-            await response.prepare(self._request)
+            await self._send_head()
 
     async def write(self, body: bytes) -> None:
         if not self.begun:
@@ -321,25 +330,28 @@
             await self._response.write(body)
 
     def abort(self) -> None:
-        """Abort the connection, so that a partial response looks incomplete.
+        """Reset the connection, so that a partial response looks incomplete.
 
         Raises
         ------
         ConnectionAbortedError
             In any case, as there is no response to return.
         """
-        transport = self._request.transport
-        if transport is not None:
-            transport.abort()
+        reset_connection(self._request.transport)
         raise ConnectionAbortedError
 
     async def end(self) -> web.StreamResponse:
         if not self.begun:
-            await self._response.prepare(self._request)
+            await self._send_head()
             await self._response.write(b''.join(self._buffered))
         await self._response.write_eof()
+        await close_when_sent(self._request)
         return self._response
 
+    async def _send_head(self) -> None:
+        reset_unless_complete(self._request)
+        await self._response.prepare(self._request)
+
 
 async def answer_readiness_probe(
     is_ready: Callable[[], bool], _request: web.BaseRequest
@@ -352,6 +364,11 @@
     )
 
 
+def _log_unless_expected(error: Exception) -> None:
+    if not isinstance(error, RequestFailedError):
+        log_unexpected_error('request', error)
+
+
 def _is_forwarded_unchanged(target: str) -> bool:
     """Tell whether aiohttp would forward a request target unchanged.
 
