Cut streams of the product's own interface that no last event ends

What callers saw: at an entry of the product's own interface, a stream whose events just ended, whose connection to another process broke, or whose entry stopped or was killed, ended for a caller on HTTP/1.0 like a whole one; the first two for a caller on HTTP/1.1 too, with the last chunk. After an unexpected error a second head of a response followed inside the stream. A caller that looks for [DONE] was not misled.

Cause: EventWriter.end finished every response that had begun; a ConnectionError was taken for the caller's, whichever connection it was of; unexpected errors were answered with a status although the response had begun.

Change: a response is finished only after its last event or an error event, and its connection is reset otherwise. Unexpected errors are sent as an error event, as others are. Answers to callers on HTTP/1.0 are reset by any other end of the connection, as at the entry of the users' platform.

Ruled out: whole answers and those of plain services state a length.

--- a/primrosewood/callers.py
+++ b/primrosewood/callers.py
@@ -257,18 +257,25 @@
         writer = EventWriter(request, answer_format, include_usage)
         async with aclosing(events):
             try:
-                async for event in events:
-                    await writer.write_event(event)
-            except RequestFailedError as error:
-                if not writer.started:
-                    raise
-                self._metrics.count('errors', error.kind.value)
-                await writer.write_error(error)
+                await self._write_events(writer, events)
             except ConnectionError:
                 # The caller disconnected; it may resume through any entry.
                 log_event('caller_left', request=answer_format.name)
         return await writer.end()
 
+    async def _write_events(self, writer: EventWriter, events) -> None:
+        try:
+            async for event in events:
+                await writer.write_event(event)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            if not writer.started:
+                raise
+            failure = _to_request_error(error)
+            self._metrics.count('errors', failure.kind.value)
+            await writer.write_error(failure)
+
     async def _call_service(self, request: web.Request) -> web.Response:
         organisation = self._identify(request)
         name = request.match_info['name']
@@ -348,6 +355,13 @@
     stream: bool
 
 
+def _to_request_error(error: Exception) -> RequestFailedError:
+    if isinstance(error, RequestFailedError):
+        return error
+    log_unexpected_error('stream', error)
+    return RequestFailedError(ErrorKind.internal)
+
+
 def _refusal_before_claim_read(
     request: web.Request, kind: ErrorKind
 ) -> RequestFailedError:
--- a/primrosewood/eventwriter.py
+++ b/primrosewood/eventwriter.py
@@ -3,6 +3,11 @@
 from aiohttp import web
 
 from .answers import AnswerFormat
+from .connectionends import (
+    close_when_sent,
+    reset_connection,
+    reset_unless_complete,
+)
 from .errors import ErrorKind, RequestFailedError
 from .httperrors import error_body
 from .logs import log_event
@@ -37,6 +42,7 @@
         self._include_usage = include_usage
         self._response: web.StreamResponse | None = None
         self._event_id_prefix = ''
+        self._complete = False
 
     @property
     def started(self) -> bool:
@@ -61,10 +67,14 @@
     async def write_error(self, error: RequestFailedError) -> None:
         """Write the error that ends the stream."""
         await self._write(b'data: %b\n\n' % error_body(error))
+        self._complete = True
 
     async def end(self) -> web.StreamResponse:
         """Finish and return the response.
 
+        Without a last event or an error the connection is reset, so that the
+        response does not look complete.
+
         Raises
         ------
         RequestFailedError
@@ -72,8 +82,11 @@
         """
         if self._response is None:
             raise RequestFailedError(ErrorKind.cancelled)
+        if not self._complete:
+            reset_connection(self._request.transport)
+            return self._response
         try:
-            await self._response.write_eof()
+            await self._finish()
         except ConnectionError:
             log_event('caller_left', request=self._answer_format.name)
         return self._response
@@ -85,6 +98,7 @@
         response.content_type = 'text/event-stream'
         response.headers['Cache-Control'] = 'no-store'
         response.headers['X-Request-Id'] = self._answer_format.name
+        reset_unless_complete(self._request)
         await response.prepare(self._request)
         self._response = response
 
@@ -94,6 +108,11 @@
             chunks.append(self._answer_format.usage_chunk(event))
         chunks.append(b'[DONE]')
         await self._write(b''.join(b'data: %b\n\n' % data for data in chunks))
+        self._complete = True
+
+    async def _finish(self) -> None:
+        await self._response.write_eof()
+        await close_when_sent(self._request)
 
     async def _write(self, data: bytes) -> None:
         await self._response.write(data)
--- a/tests/processes/test_resume.py
+++ b/tests/processes/test_resume.py
@@ -1,11 +1,13 @@
 """Failures lose no token: each once, in order, from one generation."""
 
 import asyncio
+import json
 import signal
 import unittest
 
 from primrosewood.invariants import AnswerRecord, check_tokens
 
+from ..rawcaller import RawCaller
 from .callers import complete
 from .harness import Cluster
 
@@ -82,6 +84,34 @@
         self.assert_complete(second, 200)
         self.assertEqual([1], await self.generation_starts())
 
+    async def test_entry_dies_under_an_answer_without_chunks(self):
+        """Guards against a killed entry whose streams look complete.
+
+        To a caller on HTTP/1.0, a close that is no reset is the end.
+        """
+        body = json.dumps(
+            {
+                'model': 'cert-1',
+                'prompt': 'Draft a batch certificate [length=200]',
+                'max_tokens': 210,
+                'stream': True,
+            }
+        )
+        head = (
+            'POST /v1/completions HTTP/1.0\n'
+            'Content-Type: application/json\n'
+            'Authorization: Bearer key-gwenallt\n'
+            f'Content-Length: {len(body)}\n'
+            f'\n{body}'
+        )
+        address = self.cluster.url('entry-1').removeprefix('http://')
+        async with RawCaller.send(address, head) as caller:
+            await caller.read_until(b'data: ')
+            self.cluster.kill('entry-1')
+            with self.assertRaises(ConnectionResetError):
+                await caller.read_to_end()
+        self.assertNotIn(b'[DONE]', caller.received)
+
     async def test_endpoint_process_dies_and_its_engine_lives(self):
         """The endpoint process is killed during a stream and restarted.
 
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -6,12 +6,24 @@
 
 import asyncio
 import contextlib
+import unittest
 from unittest import mock
 
+from aiohttp import web
+
+from primrosewood.callers import CallerApi
+from primrosewood.clock import SystemClock
+from primrosewood.errors import ErrorKind, RequestFailedError
+from primrosewood.gen_process import Limits
+from primrosewood.httpserver import split_address
+from primrosewood.metrics import Metrics
 from primrosewood.platform import frontend
+from primrosewood.requests import Ended, PlainResponse, Started, TokenChunk
+from primrosewood.settings import Organisation
 
 from .deployment import Deployment
 from .processes.harness import free_port
+from .rawcaller import RawCaller
 
 _LAST_CHUNK = b'0\r\n\r\n'
 _CHUNKED_HEAD = (
@@ -23,47 +35,8 @@
 )
 # More than the kernel buffers for a receiver that does not read.
 _LONG_BODY_BYTES = 16_000_000
-
-
-class RawCaller:
-    """A caller's connection that carries one request.
-
-    Attributes
-    ----------
-    received
-        All bytes so far.
-    """
-
-    def __init__(self, reader, writer):
-        self.received = b''
-        self._reader = reader
-        self._writer = writer
-
-    @classmethod
-    @contextlib.asynccontextmanager
-    async def send(cls, address, head, limit=65_536):
-        """Send the head of a request; close the connection at the end."""
-        host, _, port = address.partition(':')
-        reader, writer = await asyncio.open_connection(host, port, limit=limit)
-        writer.write(head.replace('\n', '\r\n').encode())
-        try:
-            yield cls(reader, writer)
-        finally:
-            writer.close()
-
-    async def read_until(self, text):
-        """Read until some bytes have come."""
-        async with asyncio.timeout(5):
-            while text not in self.received:
-                part = await self._reader.read(65_536)
-                assert part, self.received
-                self.received += part
-
-    async def read_to_end(self):
-        """Read the rest; raises ConnectionResetError after a reset."""
-        async with asyncio.timeout(10):
-            while part := await self._reader.read(65_536):
-                self.received += part
+_STARTED = (Started('p-'), TokenChunk(0, ['a ']), TokenChunk(1, ['b ']))
+_ENDED = Ended(2, 'stop', 1)
 
 
 class PlatformCase(Deployment):
@@ -220,3 +193,111 @@
         async with self.send('1.0', 'GET', '/unknown/') as caller:
             await caller.read_to_end()
         self.assertIn(b' 404 ', caller.received)
+
+
+class _ScriptedDispatcher:
+    """Answers each request with given events, then an error or silence."""
+
+    def __init__(self, *events):
+        self.events = events
+
+    async def answer(self, _request):
+        for event in self.events:
+            if isinstance(event, Exception):
+                raise event
+            if event is None:
+                await asyncio.sleep(30)
+            yield event
+
+
+class OwnInterfaceTest(unittest.IsolatedAsyncioTestCase):
+    """Streams of the product's own interface."""
+
+    @contextlib.asynccontextmanager
+    async def stream(self, version, *events):
+        """Request a stream of given events; yield its caller at the begin."""
+        store = mock.Mock(ready=True)
+        store.identify.return_value = Organisation('t', 'o', 1)
+        store.find_model.return_value = 's'
+        api = CallerApi(
+            _ScriptedDispatcher(*_STARTED, *events),
+            store,
+            SystemClock(),
+            Limits(),
+            's' * 16,
+            Metrics(),
+        )
+        self.runner = web.AppRunner(
+            api.make_app(), handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await self.runner.setup()
+        self.addAsyncCleanup(self.runner.cleanup)
+        address = f'127.0.0.1:{free_port()}'
+        await web.TCPSite(self.runner, *split_address(address)).start()
+        body = '{"model": "m", "prompt": "x", "stream": true}'
+        head = (
+            f'POST /v1/completions HTTP/{version}\n'
+            'Host: h.example\n'
+            'Content-Type: application/json\n'
+            f'Content-Length: {len(body)}\n'
+            'Authorization: Bearer key-1\n'
+            'X-Request-Timeout: 9\n'
+            f'\n{body}'
+        )
+        async with RawCaller.send(address, head) as caller:
+            await caller.read_until(b'"b "')
+            yield caller
+
+    async def assert_cut(self, caller):
+        with contextlib.suppress(ConnectionResetError):
+            await caller.read_to_end()
+            self.assertNotIn(b'HTTP/1.0', caller.received, 'a clean end')
+        self.assertEqual(1, caller.received.count(b'HTTP/1.'))
+        self.assertNotIn(_LAST_CHUNK, caller.received)
+        self.assertNotIn(b'[DONE]', caller.received)
+
+    async def test_whole_stream(self):
+        """Guards against a whole stream that ends like a broken one."""
+        for version in ('1.0', '1.1'):
+            async with self.stream(version, _ENDED) as caller:
+                await caller.read_until(b'data: [DONE]\n\n')
+                if version == '1.0':
+                    await caller.read_to_end()
+                else:
+                    await caller.read_until(_LAST_CHUNK)
+
+    async def test_failure_midway(self):
+        """Guards against a failure that its caller is not told."""
+        for error in (
+            RequestFailedError(ErrorKind.generation_lost),
+            ValueError('fault'),
+        ):
+            for version in ('1.0', '1.1'):
+                with self.subTest(error=error, version=version):
+                    async with self.stream(version, error) as caller:
+                        await caller.read_until(b'"error"')
+                    self.assertEqual(1, caller.received.count(b'HTTP/1.'))
+
+    async def test_end_without_a_last_event(self):
+        """Guards against a silent end of the events that looks complete."""
+        for version in ('1.0', '1.1'):
+            for events in ((), (PlainResponse(200, '', b''),)):
+                with self.subTest(version=version, events=events):
+                    async with self.stream(version, *events) as caller:
+                        await self.assert_cut(caller)
+
+    async def test_connection_to_another_process_breaks(self):
+        """Guards against a lost connection taken for that of the caller."""
+        for version in ('1.0', '1.1'):
+            with self.subTest(version=version):
+                fault = ConnectionResetError('fault')
+                async with self.stream(version, fault) as caller:
+                    await self.assert_cut(caller)
+
+    async def test_entry_ends(self):
+        """Guards against a stop that ends a stream like a whole one."""
+        for version in ('1.0', '1.1'):
+            with self.subTest(version=version):
+                async with self.stream(version, None) as caller:
+                    await self.runner.cleanup()
+                    await self.assert_cut(caller)
