Take only an engine's last event after all tokens for the end of a generation

What callers saw: a part of a generation as complete where the engine's last event came after a gap, or where a stream was resumed, through another entry, while its endpoint had it cancelled: engines end a cancelled stream with a reason, as any other one. Streams without any such event, or with a gap before a token, never ended before their deadline.

Cause: the index of the last event was not compared with the tokens that had come; the end of the engine's answer was taken for that of the generation without a reason; and a cancellation was told to nobody before it acted, so its outcome was published like that of a whole run.

Change: a gap, or an end without a reason, counts as a cut: the generation is resumed at the engine from the first missing token. A generation is marked as cancelled before the engine is told, so that whoever resumes it is told so. A generation that has ended is not resumed again.

Ruled out: that "unknown stream" of an engine counts as an end; it fails with generation_lost, also before (test_engine_lost_the_stream).

--- a/primrosewood/runner.py
+++ b/primrosewood/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
 from dataclasses import dataclass
 
 from .admission import Admission
@@ -19,6 +20,7 @@
     BackendPausedError,
     ErrorKind,
     NotRunError,
+    WireError,
 )
 from .jobs import CallJob, GenerationJob, Job
 from .logs import log_event
@@ -96,6 +98,9 @@
     def cancel(self, job: Job) -> None:
         """Stop a generation; a plain call cannot be cancelled."""
         if isinstance(job, GenerationJob):
+            # Engines end a cancelled stream as any other one.  Whoever resumes
+            # it meanwhile must not take the part for the whole.
+            job.tokens.fail(ErrorKind.cancelled)
             spawn(self._engine.cancel(job.generation), 'cancel')
 
     async def _run_generation(self, job: GenerationJob, model: str) -> None:
@@ -127,6 +132,8 @@
         # stream, and it resumes at the next token; a second generation would
         # differ from the part that was sent already.
         for _ in range(_RESUME_ATTEMPTS):
+            if job.tokens.ended:
+                return
             tokens = self._engine.resume(job.generation, len(job.tokens))
             try:
                 await self._read_tokens(job, tokens)
@@ -157,8 +164,11 @@
         self, job: GenerationJob, tokens: AsyncIterator[EngineToken]
     ) -> None:
         timer = _TokenTimer(self._clock)
-        async for token in tokens:
-            self._handle_token(job, token, timer)
+        async with aclosing(tokens):
+            async for token in tokens:
+                self._handle_token(job, token, timer)
+        if not job.tokens.ended:
+            raise BackendCutError('the stream ended without a reason')
         self._admission.limit.observe(
             timer.first_token_seconds,
             timer.mean_gap_seconds,
@@ -171,9 +181,10 @@
         self, job: GenerationJob, token: EngineToken, timer: '_TokenTimer'
     ) -> None:
         if token.finish_reason:
+            _require_all_before(job, token)
             job.tokens.finish(token.finish_reason)
             return
-        if job.tokens.append(token.index, token.piece):
+        if _append(job, token):
             timer.record_token()
             produced = len(job.tokens)
             self._admission.record_tokens(job.offer.attempt, produced, added=1)
@@ -221,6 +232,18 @@
         self._callbacks.not_run(job, error)
 
 
+def _require_all_before(job: GenerationJob, token: EngineToken) -> None:
+    if token.index > len(job.tokens):
+        raise BackendCutError(f'end {token.index} after {len(job.tokens)}')
+
+
+def _append(job: GenerationJob, token: EngineToken) -> bool:
+    try:
+        return job.tokens.append(token.index, token.piece)
+    except WireError as error:
+        raise BackendCutError(str(error)) from error
+
+
 class _TokenTimer:
     """Measures time to first token and gaps of one generation."""
 
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -319,6 +319,89 @@
         await self.offer()
         self.assertEqual('generation_lost', self.link.sent[-1].kind)
 
+    async def run_until_ended(self):
+        async with asyncio.timeout(5):
+            while self.worker.admission.running:
+                await asyncio.sleep(0.01)
+
+    async def generate_events(self, *tokens):
+        """Have the engine end its stream after given tokens, then resume."""
+        resume = self.backend.resume
+        self.backend.resumed_from = []
+
+        async def generate(call):
+            self.backend.calls.append(call.generation)
+            for token in tokens:
+                yield token
+
+        async def resume_and_record(generation, offset):
+            self.backend.resumed_from.append(offset)
+            async for token in resume(generation, offset):
+                yield token
+
+        self.backend.generate = generate
+        self.backend.resume = resume_and_record
+        self.apply_settings()
+        await self.offer()
+        await self.run_until_ended()
+
+    def received_pieces(self):
+        return [
+            piece
+            for message in self.link.sent
+            if isinstance(message, wire.Tokens)
+            for piece in message.pieces
+        ]
+
+    async def test_stream_ends_without_a_reason(self):
+        """Guards against a subscriber that waits for an end that was lost."""
+        await self.generate_events(EngineToken(0, 'a '))
+        self.assertEqual([1], self.backend.resumed_from)
+        self.assertEqual(['a ', 'b '], self.received_pieces())
+        self.assertEqual('Finished', self.link.message_types()[-1])
+
+    async def test_last_event_after_missing_tokens(self):
+        """Guards against a part of a stream that is taken for the whole."""
+        await self.generate_events(
+            EngineToken(0, 'a '), EngineToken(2, '', 'stop')
+        )
+        self.assertEqual([1], self.backend.resumed_from)
+        self.assertEqual(['a ', 'b '], self.received_pieces())
+        self.assertEqual(2, self.link.sent[-1].total)
+
+    async def test_token_after_missing_tokens(self):
+        """Guards against a gap that leaves subscribers without any end."""
+        await self.generate_events(
+            EngineToken(1, 'b '), EngineToken(2, '', 'stop')
+        )
+        self.assertEqual([0], self.backend.resumed_from)
+        self.assertEqual(['a ', 'b '], self.received_pieces())
+        self.assertEqual('Finished', self.link.message_types()[-1])
+
+    async def test_resume_after_a_cancel(self):
+        """Guards against a part of a cancelled stream that looks complete.
+
+        Engines end a cancelled stream with a reason, as any other one.
+        """
+        cancelled = asyncio.Event()
+
+        async def generate(_call):
+            yield EngineToken(0, 'a ')
+            await cancelled.wait()
+            yield EngineToken(1, '', 'cancelled')
+
+        self.backend.generate = generate
+        self.apply_settings()
+        await self.offer(streamed=True)
+        self.worker.handle(wire.Cancel('a1', at_once=True), self.link)
+        resume = wire.Resume('f1', 'i1-1', 't/o', 1)
+        self.worker.handle(resume, self.link)
+        cancelled.set()
+        await self.run_until_ended()
+        self.assertNotIn('Finished', self.link.message_types())
+        self.assertEqual('Failed', self.link.message_types()[-1])
+        self.assertEqual('f1', self.link.sent[-1].attempt)
+
     async def test_cancel_withdraws_a_queued_offer(self):
         self.apply_settings(start_running=1, max_running=1)
         self.worker.handle(make_offer('a1'), self.link)
