Take no answer of a store that says nothing for an absent key or lease

What operators may see: an entry that holds a claimed key for absent, or a process that gives up its lease as expired, after an answer without content of etcd's gateway ("{}", an error in place of a result); the first pages of a listing taken for all where a page announces more but has no item; a watch that went on silently after its history was compacted. Other answers of that kind raised errors that no reader expects (KeyError, AttributeError, DecodeError), so that the task of a watcher ended.

Cause: answers were read field by field, and a missing field stood for an empty one.

Change: answers of the gateway are decoded by their models, which need the header that it always sends, or the result. A cancelled watch with a compaction is lost history. A listing of the users' platform that cannot go on fails, and so does a conflict without items.

Ruled out: answers that are cut by a close without a length, listings cut between pages, watches that end, and cut lists of VMs: these were refused before (JSON of which a part does not parse), and now have tests. Not changed: an answer of the users' platform without any items or events counts as an empty one, as the pages do not say that empty ones are always sent.

--- a/primrosewood/etcd.py
+++ b/primrosewood/etcd.py
@@ -9,7 +9,21 @@
 import msgspec
 
 from .boundedanswers import make_connector, read_limited
-from .errors import BackendCutError, StoreUnavailableError
+from .errors import (
+    BackendCutError,
+    HistoryLostError,
+    StoreUnavailableError,
+)
+from .etcdanswers import (
+    Answer,
+    GrantAnswer,
+    PairFields,
+    RangeAnswer,
+    RenewalAnswer,
+    SwapAnswer,
+    WatchEvent,
+    WatchLine,
+)
 from .kv import Change, KeyValue, Listing, Pair, SwapResult
 
 __all__ = ('EtcdKeyValue', 'decode_base64', 'encode_base64', 'prefix_range_end')
@@ -60,20 +74,22 @@
 
     async def fetch(self, key: str) -> Pair | None:
         """Return the pair of a key, None when absent."""
-        reply = await self._call('kv/range', {'key': encode_base64(key)})
-        return next(iter(_parse_pairs(reply)), None)
+        query = {'key': encode_base64(key)}
+        answer = await self._call('kv/range', query, RangeAnswer)
+        return next(iter(_parse_pairs(answer)), None)
 
     async def list_pairs(self, prefix: str, since: int = 0) -> list[Pair]:
         """Return the pairs below a prefix with revision ``since`` or later."""
         query = _prefix_range(prefix)
         if since:
             query['min_mod_revision'] = str(since)
-        return _parse_pairs(await self._call('kv/range', query))
+        return _parse_pairs(await self._call('kv/range', query, RangeAnswer))
 
     async def list_all(self, prefix: str) -> Listing:
         """Return all pairs below a prefix, with the revision of the service."""
-        reply = await self._call('kv/range', _prefix_range(prefix))
-        return Listing(_parse_pairs(reply), _header_revision(reply))
+        query = _prefix_range(prefix)
+        answer = await self._call('kv/range', query, RangeAnswer)
+        return Listing(_parse_pairs(answer), answer.revision)
 
     async def swap(
         self, key: str, stored: bytes, expected: int, lease: int = 0
@@ -84,33 +100,30 @@
             'success': [{'request_put': _make_put(key, stored, lease)}],
             'failure': [{'request_range': {'key': encode_base64(key)}}],
         }
-        reply = await self._call('kv/txn', query)
-        if reply.get('succeeded'):
-            return SwapResult(swapped=True, revision=_header_revision(reply))
-        range_reply = reply['responses'][0]['response_range']
-        return SwapResult(
-            swapped=False, current=next(iter(_parse_pairs(range_reply)), None)
-        )
+        answer = await self._call('kv/txn', query, SwapAnswer)
+        if answer.succeeded:
+            return SwapResult(swapped=True, revision=answer.revision)
+        return SwapResult(swapped=False, current=_parse_current(answer))
 
     async def put(self, key: str, stored: bytes, lease: int = 0) -> int:
         """Write unconditionally and return the new revision."""
-        return _header_revision(
-            await self._call('kv/put', _make_put(key, stored, lease))
-        )
+        query = _make_put(key, stored, lease)
+        return (await self._call('kv/put', query, Answer)).revision
 
     async def grant(self, seconds: int) -> int:
         """Create a lease with a time to live in seconds; return its ID."""
-        reply = await self._call('lease/grant', {'TTL': str(seconds)})
-        return int(reply['ID'])
+        query = {'TTL': str(seconds)}
+        return (await self._call('lease/grant', query, GrantAnswer)).lease
 
     async def keep_alive(self, lease: int) -> bool:
         """Renew a lease; return False if it has expired."""
-        reply = await self._call('lease/keepalive', {'ID': str(lease)})
-        return int(reply.get('result', {}).get('TTL', 0)) > 0
+        query = {'ID': str(lease)}
+        answer = await self._call('lease/keepalive', query, RenewalAnswer)
+        return answer.result.seconds > 0
 
     async def revoke(self, lease: int) -> None:
         """Revoke a lease and delete the keys attached to it."""
-        await self._call('lease/revoke', {'ID': str(lease)})
+        await self._call('lease/revoke', {'ID': str(lease)}, Answer)
 
     async def watch(self, prefix: str, since: int) -> AsyncIterator[Change]:
         """Yield changes from a revision on, until the connection is lost."""
@@ -139,7 +152,7 @@
             )
         return self._cached_session
 
-    async def _call(self, path: str, query: Any) -> Any:
+    async def _call(self, path: str, query: Any, kind: type) -> Any:
         try:
             async with self._session().post(
                 f'{self._url}/v3/{path}', json=query, timeout=self._timeout
@@ -147,7 +160,7 @@
                 body = await read_limited(response, _MAX_RESPONSE_BYTES)
                 if response.status != aiohttp.http.HTTPStatus.OK:
                     raise StoreUnavailableError(f'status {response.status}')
-                return msgspec.json.decode(body)
+                return msgspec.json.decode(body, type=kind, strict=False)
         except _TRANSPORT_ERRORS as error:
             raise StoreUnavailableError(type(error).__name__) from error
 
@@ -167,14 +180,16 @@
     async for line in response.content:
         if not line.strip():
             continue
-        result = msgspec.json.decode(line).get('result', {})
-        for event in result.get('events', ()):
+        result = msgspec.json.decode(line, type=WatchLine, strict=False).result
+        for event in result.events:
             yield _parse_change(event)
+        if result.canceled and result.compact_revision:
+            raise HistoryLostError('the history was compacted')
 
 
-def _parse_change(event: Any) -> Change:
-    pair = _parse_pair(event['kv'])
-    if event.get('type') == 'DELETE':
+def _parse_change(event: WatchEvent) -> Change:
+    pair = _parse_pair(event.kv)
+    if event.type == 'DELETE':
         return Change(pair.key, pair.revision, None)
     return Change(pair.key, pair.revision, pair)
 
@@ -186,20 +201,24 @@
     }
 
 
-def _parse_pairs(reply: Any) -> list[Pair]:
-    return [_parse_pair(fields) for fields in reply.get('kvs', ())]
+def _parse_pairs(answer: RangeAnswer) -> list[Pair]:
+    return [_parse_pair(fields) for fields in answer.kvs]
 
 
-def _parse_pair(fields: Any) -> Pair:
-    return Pair(
-        key=decode_base64(fields['key']).decode(),
-        stored=decode_base64(fields.get('value', '')),
-        revision=int(fields['mod_revision']),
-    )
+def _parse_current(answer: SwapAnswer) -> Pair | None:
+    try:
+        fields = answer.find_current()
+    except msgspec.DecodeError as error:
+        raise StoreUnavailableError(str(error)) from error
+    return _parse_pair(fields) if fields else None
 
 
-def _header_revision(reply: Any) -> int:
-    return int(reply['header']['revision'])
+def _parse_pair(fields: PairFields) -> Pair:
+    return Pair(
+        key=decode_base64(fields.key).decode(),
+        stored=decode_base64(fields.value),
+        revision=fields.mod_revision,
+    )
 
 
 def _make_compare(key: str, expected: int) -> dict[str, str]:
--- a/primrosewood/platform/store.py
+++ b/primrosewood/platform/store.py
@@ -78,6 +78,12 @@
     events: list[_KeyItem] = []
 
 
+class _Conflict(msgspec.Struct):
+    """Current state of the keys whose revisions did not match."""
+
+    items: list[_KeyItem]
+
+
 class _WriteResult(msgspec.Struct):
     """Response to a write that took effect."""
 
@@ -136,8 +142,10 @@
             # has the first page's revision: a watch from there reports them.
             revision = revision or page.store_revision
             pairs += [_to_pair(key_item) for key_item in page.items]
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return Listing(pairs, revision)
+            if not page.items:
+                raise StoreUnavailableError('a listing that does not go on')
             query['after'] = page.items[-1].key
 
     async def list_changes(self, prefix: str, known: int) -> ChangeList:
@@ -161,8 +169,7 @@
             key, stored, lease, [{'key': key, 'revision': expected}]
         )
         if status == HTTPStatus.PRECONDITION_FAILED:
-            conflicting = msgspec.json.decode(body).get('items', ())
-            items = msgspec.convert(conflicting, list[_KeyItem])
+            items = _decode_body(body, _Conflict).items
             current = next((each for each in items if each.revision), None)
             return SwapResult(
                 False, current=_to_pair(current) if current else None
@@ -300,6 +307,10 @@
 
 def _decode(status: int, body: bytes, kind: type) -> Any:
     _require_ok(status)
+    return _decode_body(body, kind)
+
+
+def _decode_body(body: bytes, kind: type) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
     except msgspec.DecodeError as error:
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import contextlib
+import json
 import unittest
 from unittest import mock
 
+import aiohttp
 from aiohttp import web
 
 from primrosewood.errors import HistoryLostError, StoreUnavailableError
 from primrosewood.etcd import EtcdKeyValue, prefix_range_end
 from primrosewood.kv import MemoryKeyValue
 from primrosewood.platform.store import PlatformStore
+from primrosewood.vmlist import VmListPoller
 from standins.platform import PlatformStandIn
 from standins.store import StoreStandIn
 
@@ -261,3 +264,145 @@
             encode.return_value = b'***'
             listing = await self.store.list_all('')
         self.assertEqual(b'', listing.pairs[0].stored)
+
+
+class _ScriptedCase(unittest.IsolatedAsyncioTestCase):
+    """A service that answers with given bodies and closes after each."""
+
+    async def serve_bodies(self, *bodies, status=200):
+        """Return the address of the service; bodies state no length."""
+        remaining = [body.encode() for body in bodies]
+
+        async def handle(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(b'HTTP/1.1 %d S\r\n\r\n' % status)
+                writer.write(remaining.pop(0) if remaining else b'')
+            writer.close()
+
+        server = await asyncio.start_server(handle, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        return f'127.0.0.1:{port}'
+
+    async def assert_unavailable(self, calls, *bodies, status=200):
+        """Check that a store's calls raise an error for each body."""
+        for name, call in calls.items():
+            for body in bodies:
+                address = await self.serve_bodies(body, status=status)
+                async with contextlib.aclosing(self.connect(address)) as store:
+                    with (
+                        self.subTest(call=name, body=body),
+                        self.assertRaises(StoreUnavailableError),
+                    ):
+                        await call(store)
+
+
+async def _watch(store):
+    async for _change in store.watch('k', 1):
+        continue
+
+
+_READS = {
+    'fetch': lambda store: store.fetch('k'),
+    'list': lambda store: store.list_all('k'),
+    'list since': lambda store: store.list_pairs('k', 1),
+    'watch': _watch,
+}
+_WRITES = {
+    'swap': lambda store: store.swap('k', b'', 3),
+    'put': lambda store: store.put('k', b''),
+    'grant': lambda store: store.grant(5),
+}
+_NO_ANSWERS = ('', '{', '{}', 'null', '[]')
+
+
+class EtcdCutAnswerTest(_ScriptedCase):
+    """Answers of the etcd gateway that end early."""
+
+    def connect(self, address):
+        store = EtcdKeyValue(f'http://{address}', 2)
+        store.aclose = store.close
+        return store
+
+    async def test_part_of_an_answer(self):
+        """Guards against an absent key where the answer says nothing."""
+        await self.assert_unavailable({**_READS, **_WRITES}, *_NO_ANSWERS)
+
+    async def test_renewal_without_an_outcome(self):
+        """Guards against a lease that is given up as expired."""
+        calls = {'renew': lambda store: store.keep_alive(7)}
+        await self.assert_unavailable(calls, *_NO_ANSWERS, '{"error": {}}')
+
+    async def test_conflict_without_the_stored_pair(self):
+        """Guards against a key that counts as absent after a conflict."""
+        calls = {'swap': _WRITES['swap']}
+        header = {'header': {'revision': '9'}}
+        answers = (
+            header,
+            {**header, 'responses': []},
+            {**header, 'responses': [{}]},
+        )
+        await self.assert_unavailable(calls, *map(json.dumps, answers))
+
+    async def test_watch_that_the_service_ends(self):
+        """Guards against changes that were dropped and are not looked for."""
+        cancelled = '{"result": {"canceled": true, "compact_revision": "5"}}\n'
+        address = await self.serve_bodies(cancelled)
+        async with contextlib.aclosing(self.connect(address)) as store:
+            with self.assertRaises(HistoryLostError):
+                await _watch(store)
+
+
+class UsersPlatformCutAnswerTest(_ScriptedCase):
+    """Answers of the users' platform's service that end early."""
+
+    def connect(self, address):
+        store = PlatformStore(address, 2)
+        store.aclose = store.close
+        return store
+
+    async def test_part_of_an_answer(self):
+        """Guards against an empty listing where the answer says nothing."""
+        calls = {
+            **_READS,
+            **_WRITES,
+            'changes': lambda store: store.list_changes('k', 1),
+        }
+        await self.assert_unavailable(calls, *_NO_ANSWERS)
+
+    async def test_listing_that_ends_between_pages(self):
+        """Guards against the first pages of a listing taken for all."""
+        item = {'key': 'k1', 'value': '', 'revision': 3}
+        more = {'store_revision': 9, 'has_more': True}
+        page = json.dumps({**more, 'items': [item]})
+        empty = json.dumps({**more, 'items': []})
+        for second in ('', page[:-4], empty):
+            address = await self.serve_bodies(page, second)
+            async with contextlib.aclosing(self.connect(address)) as store:
+                with (
+                    self.subTest(second),
+                    self.assertRaises(StoreUnavailableError),
+                ):
+                    await store.list_all('k')
+
+    async def test_conflict_without_the_stored_pair(self):
+        """Guards against a key that counts as absent after a conflict."""
+        calls = {'swap': _WRITES['swap']}
+        await self.assert_unavailable(calls, *_NO_ANSWERS, status=412)
+
+
+class VmListCutAnswerTest(_ScriptedCase):
+    """Answers with the platform's list of VMs that end early."""
+
+    async def test_part_of_an_answer(self):
+        """Guards against VMs that count as gone as the list was cut."""
+        listed = mock.Mock()
+        cut = '{"vms": [{"name": "vm-1", "state": "live"}'
+        for body in (*_NO_ANSWERS, cut):
+            with self.subTest(body):
+                address = await self.serve_bodies(body)
+                poller = VmListPoller(f'http://{address}', 1, listed)
+                async with aiohttp.ClientSession() as session:
+                    await poller._read(session)  # noqa: SLF001
+                listed.assert_not_called()
