Refuse odd records among those of the members of a fleet

What callers saw: nothing at first. After one odd record below the members an entry followed none that was written later, until it was started again, and then it knew only those that were listed before the odd one. Requests went to members that had left, and to none that had joined.

Cause: a record was decoded without a check in the task that reads the list. The error ended that task, which nothing starts again. A URL that the library cannot parse ended the task of that member's link in the same way, and a record could name, and so replace, another member.

Ruled out: that the process ends; the error is logged and the others tasks go on.

Change: parse_member refuses what is no record of this member and URLs that cannot be used; the refusal is logged ('record_refused') and counts as a missing record. Addresses refuse host labels of over 63 characters, for which resolvers raise UnicodeError, and take a closing dot.

--- a/primrosewood/addresses.py
+++ b/primrosewood/addresses.py
@@ -5,9 +5,11 @@
 
 from .errors import WireError
 
-__all__ = ('parse_address',)
+__all__ = ('parse_address', 'require_link_url')
 
-_HOST_NAME = re.compile(r'[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*')
+# Resolvers raise errors of other kinds for longer labels.
+_HOST_NAME = re.compile(r'[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*\.?')
+_LINK_URL = re.compile('wss?://(.*)')
 _IP_CHARACTERS = frozenset('0123456789.')
 _PORT = re.compile('[0-9]{1,5}')
 _MAX_PORT = 65535
@@ -29,6 +31,20 @@
     return host, int(port)
 
 
+def require_link_url(url: str) -> None:
+    """Check the URL on which a process accepts links.
+
+    Raises
+    ------
+    WireError
+        It is not ``ws`` or ``wss`` with a host and a port.
+    """
+    match = _LINK_URL.fullmatch(url)
+    if match is None:
+        raise WireError(f'{url!r} is no URL of a link')
+    parse_address(match.group(1))
+
+
 def _is_host(host: str) -> bool:
     if not _IP_CHARACTERS.issuperset(host):
         return _HOST_NAME.fullmatch(host) is not None
--- a/primrosewood/announce.py
+++ b/primrosewood/announce.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from .errors import StoreUnavailableError
+from .addresses import require_link_url
+from .errors import StoreUnavailableError, WireError
 from .gen_process import Listen, ProcessSettings
 from .gen_stored import MemberRecord
 from .kv import KeyValue
@@ -50,9 +51,29 @@
     )
 
 
-def parse_member(stored: bytes) -> MemberRecord:
-    """Return the record from its value in the key-value service."""
-    return msgspec.json.decode(stored, type=MemberRecord)
+def parse_member(name: str, stored: bytes) -> MemberRecord:
+    """Return the record from its value in the key-value service.
+
+    Parameters
+    ----------
+    name
+        Name of the member, the key without ``MEMBERS_PREFIX``.
+    stored
+        The value of the key.
+
+    Raises
+    ------
+    WireError
+        The value is not this member's record, or has no usable URL.
+    """
+    try:
+        member = msgspec.json.decode(stored, type=MemberRecord)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise WireError(str(error)) from error
+    if member.name != name:
+        raise WireError('the record names another member')
+    require_link_url(member.url)
+    return member
 
 
 class Announcer:
--- a/primrosewood/fleet.py
+++ b/primrosewood/fleet.py
@@ -10,9 +10,11 @@
 
 from .announce import MEMBERS_PREFIX, parse_member
 from .clock import Clock
+from .errors import WireError
 from .gen_process import Timing
 from .gen_stored import MemberRecord
 from .kv import Pair
+from .logs import log_event
 from .membership import EndpointView, Veto, VmState
 from .selection import Candidate, select_subset
 from .settings import SettingsStore
@@ -93,12 +95,15 @@
         """Apply a changed or deleted membership record."""
         name = key.removeprefix(MEMBERS_PREFIX)
         if pair is None:
-            view = self._views.get(name)
-            if view is not None:
-                view.leased = False
-            self._changed.on_next(name)
+            self._expire(name)
             return
-        self.apply_member(parse_member(pair.stored))
+        try:
+            member = parse_member(name, pair.stored)
+        except WireError as error:
+            log_event('record_refused', 'WARNING', endpoint=name, why=error)
+            self._expire(name)
+            return
+        self.apply_member(member)
 
     def apply_member(self, member: MemberRecord) -> None:
         """Add or update a member."""
@@ -177,6 +182,13 @@
         """Return why an endpoint gets no new work, or ``Veto.none``."""
         return self._veto(view)
 
+    def _expire(self, name: str) -> None:
+        """Note that a member has no record any more."""
+        view = self._views.get(name)
+        if view is not None:
+            view.leased = False
+        self._changed.on_next(name)
+
     def _veto(self, view: EndpointView) -> Veto:
         member = view.member
         return view.veto(
--- /dev/null
+++ b/tests/test_odd_documents.py
@@ -0,0 +1,134 @@
+"""Odd documents and numbers of other writers, peers, callers and back ends."""
+
+import asyncio
+import contextlib
+import unittest
+
+import msgspec
+
+from primrosewood.announce import MEMBERS_PREFIX, parse_member
+from primrosewood.clock import SystemClock
+from primrosewood.errors import WireError
+from primrosewood.fleet import Fleet
+from primrosewood.gen_process import Timing
+from primrosewood.gen_stored import MemberRecord
+from primrosewood.kv import MemoryKeyValue
+from primrosewood.settings import SettingsStore
+from primrosewood.watcher import PollSchedule, Watcher
+
+_DEEP = b'[' * 90_000
+_ODD_DOCUMENTS = (
+    b'',
+    b'{',
+    b'[]',
+    b'null',
+    b'\xff\xfe',
+    b'"\\ud800"',
+    b'{"url":' + _DEEP,
+    b'{"document":' + _DEEP,
+    b'{"revision":' + _DEEP,
+)
+_ODD_URLS = (
+    '',
+    'ws://host',
+    'ws://host:99999',
+    'ws://host:0',
+    'ws://.:80',
+    'ws://[:80',
+    'ws://a..b:80',
+    f'ws://{"a" * 64}:80',
+    'http://host:80',
+    'ws://user@host:80',
+    'ws://host:80/path',
+    'host:80',
+)
+
+
+def make_member(name, url='ws://127.0.0.1:8000'):
+    return MemberRecord(
+        name=name,
+        vm=name,
+        team='t',
+        service='s',
+        failure_domain='d1',
+        incarnation='i',
+        url=url,
+    )
+
+
+class _WatchedCase(unittest.IsolatedAsyncioTestCase):
+    """A watched prefix."""
+
+    async def watch(self, prefix, on_change):
+        self.store = MemoryKeyValue()
+        self.task = asyncio.create_task(
+            Watcher(self.store, prefix, PollSchedule(0.01), on_change).run()
+        )
+        self.addAsyncCleanup(self.stop)
+
+    async def stop(self):
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(2):
+            while not condition():
+                if self.task.done():
+                    self.task.result()
+                await asyncio.sleep(0.01)
+
+
+class MemberTest(_WatchedCase):
+    """Records among those of the members of a fleet."""
+
+    async def asyncSetUp(self):
+        self.fleet = Fleet('entry-1', SettingsStore(), SystemClock(), Timing())
+        await self.watch(MEMBERS_PREFIX, self.fleet.apply_pair)
+
+    async def put(self, name, record):
+        stored = msgspec.json.encode(record)
+        await self.store.put(MEMBERS_PREFIX + name, stored)
+
+    async def test_odd_records(self):
+        """Guards against one odd record after which no member is followed."""
+        for number, document in enumerate(_ODD_DOCUMENTS):
+            with self.subTest(document[:20]):
+                await self.store.put(f'{MEMBERS_PREFIX}odd', document)
+                name = f'sound-{number}'
+                await self.put(name, make_member(name))
+                await self.wait_for(lambda name=name: name in self.fleet.views)
+
+    async def test_record_that_names_another_member(self):
+        """Guards against a record that takes a sound member's place."""
+        await self.put('one', make_member('one'))
+        await self.put('odd', make_member('one', 'ws://127.0.0.1:1'))
+        await self.put('two', make_member('two'))
+        await self.wait_for(lambda: 'two' in self.fleet.views)
+        self.assertEqual(
+            'ws://127.0.0.1:8000', self.fleet.views['one'].member.url
+        )
+
+    async def test_member_that_becomes_odd(self):
+        """Guards against a member that stays under a record that is gone."""
+        await self.put('one', make_member('one'))
+        await self.wait_for(lambda: 'one' in self.fleet.views)
+        await self.store.put(f'{MEMBERS_PREFIX}one', b'{')
+        await self.wait_for(lambda: not self.fleet.views['one'].leased)
+
+    def test_urls(self):
+        """Guards against errors of other kinds where a link is opened."""
+        for url in _ODD_URLS:
+            stored = msgspec.json.encode(make_member('e', url))
+            with self.subTest(url), self.assertRaises(WireError):
+                parse_member('e', stored)
+
+    def test_sound_urls(self):
+        for url in ('ws://e-1.example:80', 'wss://10.0.0.1:65535'):
+            record = make_member('e', url)
+            stored = msgspec.json.encode(record)
+            self.assertEqual(record, parse_member('e', stored))
+
+
+if __name__ == '__main__':
+    unittest.main()
