Refuse odd documents among the settings of teams

What callers saw: after one odd document among the settings of teams, entries and endpoints followed none that was written later: keys of new organisations were refused, and failure domains stayed in or out. Peers passed settings on over links, so only those that nobody had read were lost.

Cause: a value was decoded without a check in the task that reads the settings. The error ended that task for good. Settings nested very deep raised RecursionError, which was not expected either, in the task that reads a link.

Ruled out: settings that do not match their schema; they were kept out before.

Change: parse_stored refuses such a value and revisions that no later one can exceed; each refusal is logged ('settings_refused') and the settings in force remain.

--- a/primrosewood/settings.py
+++ b/primrosewood/settings.py
@@ -7,7 +7,7 @@
 import xxhash
 from reactivex.subject import Subject
 
-from .errors import ErrorKind, RequestFailedError
+from .errors import ErrorKind, RequestFailedError, WireError
 from .gen_stored import StoredSettings
 from .gen_team import Service, TeamSettings
 from .gen_wire import SettingsRecord
@@ -26,6 +26,8 @@
 SETTINGS_PREFIX = 'primrosewood/settings/'
 PLATFORM_TEAM = 'platform'
 
+_MAX_REVISION = 9_223_372_036_854_775_807
+
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
@@ -56,8 +58,19 @@
 
 
 def parse_stored(team: str, stored: bytes) -> SettingsRecord:
-    """Return a team's settings from their value in the key-value service."""
-    found = msgspec.json.decode(stored, type=StoredSettings)
+    """Return a team's settings from their value in the key-value service.
+
+    Raises
+    ------
+    WireError
+        The value holds no settings.
+    """
+    try:
+        found = msgspec.json.decode(stored, type=StoredSettings)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise WireError(str(error)) from error
+    if found.revision > _MAX_REVISION:
+        raise WireError('the revision is too large')
     return SettingsRecord(team, found.revision, found.document)
 
 
@@ -115,9 +128,15 @@
 
     def apply_pair(self, key: str, pair: Pair | None) -> None:
         """Apply a change from the key-value service; ignore deletions."""
-        if pair is not None:
-            team = key.removeprefix(SETTINGS_PREFIX)
-            self.merge(parse_stored(team, pair.stored))
+        if pair is None:
+            return
+        team = key.removeprefix(SETTINGS_PREFIX)
+        try:
+            record = parse_stored(team, pair.stored)
+        except WireError as error:
+            log_event('settings_refused', 'WARNING', team=team, why=error)
+            return
+        self.merge(record)
 
     def records_newer_than(
         self, revisions: dict[str, int]
@@ -191,7 +210,7 @@
             return TeamSettings()
         try:
             return msgspec.json.decode(record.document, type=TeamSettings)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
             # The record is of a newer version of the system. Keep the settings
             # in force rather than apply those fields that are understood.
             log_event(
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import unittest
 
 import msgspec
@@ -13,9 +14,10 @@
 from primrosewood.gen_process import Timing
 from primrosewood.gen_stored import MemberRecord
 from primrosewood.kv import MemoryKeyValue
-from primrosewood.settings import SettingsStore
+from primrosewood.settings import SETTINGS_PREFIX, SettingsStore, parse_stored
 from primrosewood.watcher import PollSchedule, Watcher
 
+_HUGE = 10**400
 _DEEP = b'[' * 90_000
 _ODD_DOCUMENTS = (
     b'',
@@ -56,6 +58,13 @@
     )
 
 
+def make_settings(team='t', revision=1):
+    document = json.dumps({'services': {team: {'kind': 'plain'}}})
+    return json.dumps(
+        {'revision': revision, 'document': document, 'history': []}
+    ).encode()
+
+
 class _WatchedCase(unittest.IsolatedAsyncioTestCase):
     """A watched prefix."""
 
@@ -130,5 +139,42 @@
             self.assertEqual(record, parse_member('e', stored))
 
 
+class TeamSettingsTest(_WatchedCase):
+    """Documents among the settings of teams."""
+
+    async def asyncSetUp(self):
+        self.settings = SettingsStore()
+        await self.watch(SETTINGS_PREFIX, self.settings.apply_pair)
+
+    async def test_odd_documents(self):
+        """Guards against one odd document after which no team is followed."""
+        for number, document in enumerate(_ODD_DOCUMENTS):
+            with self.subTest(document[:20]):
+                await self.store.put(f'{SETTINGS_PREFIX}odd', document)
+                team = f't-{number}'
+                await self.store.put(
+                    f'{SETTINGS_PREFIX}{team}', make_settings(team)
+                )
+                await self.wait_for(
+                    lambda team=team: self.settings.revision_of(team)
+                )
+
+    async def test_deep_settings(self):
+        """Guards against a text that is sound and holds odd settings."""
+        odd = {
+            'revision': 1,
+            'document': f'{{"services":{_DEEP.decode()}',
+            'history': [],
+        }
+        await self.store.put(f'{SETTINGS_PREFIX}odd', json.dumps(odd).encode())
+        await self.store.put(f'{SETTINGS_PREFIX}t', make_settings())
+        await self.wait_for(lambda: self.settings.revision_of('t'))
+
+    def test_revision_too_large(self):
+        """Guards against a revision that no later one can exceed."""
+        with self.assertRaises(WireError):
+            parse_stored('t', make_settings(revision=_HUGE))
+
+
 if __name__ == '__main__':
     unittest.main()
