Read on after odd VM lists and odd keys of the service

What callers saw: after one VM list that is nested very deep an entry read no list any more, and went on to send work to VMs that had left. With one key that is no text below a prefix, every listing of that prefix failed and a process that started learned nothing.

Cause: RecursionError and UnicodeDecodeError, where only errors of transport and of JSON were expected; either ended the task that reads.

Change: such a list is logged ('vm_list_unreadable') and skipped; bytes of a key that are no text are shown by their codes.

Measured: VmListTest and StoredKeyTest of tests.test_odd_documents failed before and pass now.

--- a/primrosewood/etcd.py
+++ b/primrosewood/etcd.py
@@ -192,7 +192,8 @@
 
 def _parse_pair(fields: Any) -> Pair:
     return Pair(
-        key=decode_base64(fields['key']).decode(),
+        # Other writers' keys may be no text.
+        key=decode_base64(fields['key']).decode(errors='backslashreplace'),
         stored=decode_base64(fields.get('value', '')),
         revision=int(fields['mod_revision']),
     )
--- a/primrosewood/vmlist.py
+++ b/primrosewood/vmlist.py
@@ -21,6 +21,7 @@
     TimeoutError,
     OSError,
     msgspec.DecodeError,
+    RecursionError,
 )
 
 
@@ -40,6 +41,8 @@
     ------
     msgspec.DecodeError
         The body is not a VM list.
+    RecursionError
+        It is nested too deep to tell.
     """
     listed = msgspec.json.decode(body, type=_VmList)
     return {
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -6,17 +6,22 @@
 import unittest
 
 import msgspec
+from aiohttp import web
 
 from primrosewood.announce import MEMBERS_PREFIX, parse_member
 from primrosewood.clock import SystemClock
 from primrosewood.errors import WireError
+from primrosewood.etcd import EtcdKeyValue, encode_base64
 from primrosewood.fleet import Fleet
 from primrosewood.gen_process import Timing
 from primrosewood.gen_stored import MemberRecord
 from primrosewood.kv import MemoryKeyValue
 from primrosewood.settings import SETTINGS_PREFIX, SettingsStore, parse_stored
+from primrosewood.vmlist import VmListPoller
 from primrosewood.watcher import PollSchedule, Watcher
 
+from .processes.harness import free_port
+
 _HUGE = 10**400
 _DEEP = b'[' * 90_000
 _ODD_DOCUMENTS = (
@@ -176,5 +181,60 @@
             parse_stored('t', make_settings(revision=_HUGE))
 
 
+class VmListTest(unittest.IsolatedAsyncioTestCase):
+    """Lists of VMs."""
+
+    async def test_odd_lists(self):
+        """Guards against one odd list after which none is read."""
+        sound = json.dumps({'vms': [{'name': 'vm', 'state': 'leaving'}]})
+        lists = [*_ODD_DOCUMENTS, b'{"vms":[],"x":' + _DEEP, sound.encode()]
+        last = asyncio.Event()
+
+        async def answer(_request):
+            body = lists.pop(0) if len(lists) > 1 else lists[0]
+            return web.Response(body=body)
+
+        runner = web.ServerRunner(web.Server(answer))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        port = free_port()
+        await web.TCPSite(runner, '127.0.0.1', port).start()
+        poller = VmListPoller(
+            f'http://127.0.0.1:{port}', 0.01, lambda _listed: last.set()
+        )
+        task = asyncio.create_task(poller.run())
+        self.addCleanup(task.cancel)
+        waiter = asyncio.create_task(last.wait())
+        done, _pending = await asyncio.wait(
+            (task, waiter), timeout=5, return_when=asyncio.FIRST_COMPLETED
+        )
+        self.assertEqual({waiter}, done)
+
+
+class StoredKeyTest(unittest.IsolatedAsyncioTestCase):
+    """Keys of the key-value service that are no text."""
+
+    async def test_key_of_other_bytes(self):
+        """Guards against one key after which a prefix cannot be listed."""
+        keys = [
+            {'key': encode_base64(key), 'value': 'eA==', 'mod_revision': '1'}
+            for key in (b'p/\xff', b'p/one')
+        ]
+
+        async def answer(_request):
+            return web.json_response({'header': {'revision': '1'}, 'kvs': keys})
+
+        runner = web.ServerRunner(web.Server(answer))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        port = free_port()
+        await web.TCPSite(runner, '127.0.0.1', port).start()
+        store = EtcdKeyValue(f'http://127.0.0.1:{port}', 2)
+        self.addAsyncCleanup(store.close)
+        listing = await store.list_all('p/')
+        self.assertEqual([b'x'], [pair.stored for pair in listing.pairs][-1:])
+        self.assertIn('p/one', {pair.key for pair in listing.pairs})
+
+
 if __name__ == '__main__':
     unittest.main()
