--- a/primrosewood/etcd.py
+++ b/primrosewood/etcd.py
@@ -215,7 +215,8 @@
 
 def _parse_pair(fields: PairFields) -> Pair:
     return Pair(
-        key=decode_base64(fields.key).decode(),
+        # Other writers' keys may be no text.
+        key=decode_base64(fields.key).decode(errors='backslashreplace'),
         stored=decode_base64(fields.value),
         revision=fields.mod_revision,
     )
