--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,7 @@
 from .backends import BORN, EngineStandIn, KvCopyStore, ServiceStandIn
 from .endings import Ending, EndingBackend, EndingWay
 from .store import StoreStandIn
+from .unframed import LastMove
 
 __all__ = ('Fleet', 'make_record', 'make_route')
 
@@ -152,11 +153,15 @@
         ``limits`` the calls per second by the names of back ends (null removes
         a limit), as ``crashing_part`` the part of prompts that crashes all
         engines, and as ``ending`` the ``marker`` of requests under which back
-        ends end and the ``way``, for good.
+        ends end and the ``way``, for good.  By the names of engines, it may
+        give under ``streams`` the ``events``, the ``pause`` between two and
+        whether they are ``framed``, and under ``last_moves`` the name of a
+        ``LastMove``.
         """
         faults = await request.json()
         back_ends = {**self.engines, _SERVICE_NAME: self.service}
         self._set_ends(faults)
+        self._set_streams(faults)
         for name, rate in faults.pop('limits', {}).items():
             back_ends[name].limit = rate
         for name, notice_ms in faults.pop('leave', {}).items():
@@ -177,6 +182,17 @@
             for back_end in (*self.engines.values(), self.service):
                 back_end.ending = ending
 
+    def _set_streams(self, faults: dict) -> None:
+        """Take out of the faults how engines stream and answer last moves."""
+        for name, stated in faults.pop('streams', {}).items():
+            engine = self.engines[name]
+            engine.events = stated['events']
+            engine.pause = stated['pause']
+            engine.framed = stated['framed']
+        for engine_name, answer in faults.pop('last_moves', {}).items():
+            moves = self.engines[engine_name].last_moves
+            moves.answer = LastMove(answer)
+
     async def _leave(self, name: str, notice_ms: float) -> None:
         """Announce that an engine leaves, and end it after the notice."""
         engine = self.engines[name]
@@ -191,7 +207,8 @@
             ),
         )
         await asyncio.sleep(notice_ms / _MS_PER_SECOND)
-        engine.lose_power()
+        # A process that ends has its streams closed and its port refused.
+        await engine.end()
         self.store_stand_in.store.delete(f'servers/{name}')
 
 
