Number the questions before stops, so that a late answer counts for none

Cause (found by reading, not seen): an entry that answers after .25 s confirms a question that may have been taken back meanwhile; its answer was taken for one to the next question, which it had not read yet, so that a stop could come that it did not expect.

Change: StopQuery and StopReply carry a number.

--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -385,7 +385,9 @@
             source=query.source,
             agrees=agrees,
         )
-        link.send(wire.StopReply(query.attempt, query.boot, agrees))
+        link.send(
+            wire.StopReply(query.attempt, query.boot, query.number, agrees)
+        )
 
     def _takes_calls(self, query: wire.TargetQuery) -> bool:
         try:
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -1087,6 +1087,16 @@
     """
     Its start that runs it.
     """
+    number: Annotated[
+        int,
+        Meta(
+            description='Of the question, so that a late answer to an earlier one does not count.',
+            ge=0,
+        ),
+    ]
+    """
+    Of the question, so that a late answer to an earlier one does not count.
+    """
 
 
 class StopReply(Struct, array_like=True):
@@ -1104,6 +1114,10 @@
     """
     The engine's start that was asked about.
     """
+    number: Annotated[int, Meta(description='Number of the question.', ge=0)]
+    """
+    Number of the question.
+    """
     agrees: Annotated[
         bool,
         Meta(
--- a/primrosewood/movequeries.py
+++ b/primrosewood/movequeries.py
@@ -67,27 +67,22 @@
 class StopConfirmation:
     """Reply of the entry that holds the stream of a generation.
 
-    Replies about other generations, which come late, do not count.
+    Replies to other questions, which come late, do not count.
     """
 
-    def __init__(self, name: str = '', boot: int = 0) -> None:
-        """Wait for the reply about one generation; about none by default.
-
-        Parameters
-        ----------
-        name
-            Name of the generation.
-        boot
-            Start of the engine that runs it.
-        """
-        self._asked = (name, boot)
+    def __init__(self, query: wire.StopQuery | None = None) -> None:
+        """Wait for the reply to one question; to none by default."""
+        self._query = query
         self._received = asyncio.Event()
         self._agrees: bool | None = None
 
     def handle(self, reply: wire.StopReply) -> None:
-        """Keep a reply if it is the first one about this generation."""
-        asked = (reply.attempt, reply.boot) == self._asked
-        if asked and not self._received.is_set():
+        """Keep a reply if it is the first one to this question."""
+        query = self._query
+        if query is None or self._received.is_set():
+            return
+        asked = (query.attempt, query.boot, query.number)
+        if (reply.attempt, reply.boot, reply.number) == asked:
             self._agrees = reply.agrees
             self._received.set()
 
--- a/primrosewood/runstops.py
+++ b/primrosewood/runstops.py
@@ -74,6 +74,7 @@
         # Generations whose entries may expect a stop, by name.
         self._announced: dict[str, EngineRun] = {}
         self._asked = ''
+        self._questions = 0
         self._ordered: set[str] = set()
         # Those that have certainly stopped and may resume here.
         self._stopped: set[str] = set()
@@ -216,8 +217,11 @@
         if holder in self._silent_holders:
             # Its link may be dead, and it may have another one.
             holder = None
-        self._confirmation = StopConfirmation(run.name, boot)
-        query = wire.StopQuery(run.name, self._engine.address, boot)
+        self._questions += 1
+        query = wire.StopQuery(
+            run.name, self._engine.address, boot, self._questions
+        )
+        self._confirmation = StopConfirmation(query)
         if not self._links.announce_stop(query, holder):
             return None
         was_announced = run.name in self._announced
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -33,8 +33,8 @@
     wire.Cancel('a', at_once=False),
     wire.ClaimQuery('a', _CLAIM, ''),
     wire.ClaimReply('a', None),
-    wire.StopQuery('a', 'h:1', 7),
-    wire.StopReply('a', 7, agrees=True),
+    wire.StopQuery('a', 'h:1', 7, 2),
+    wire.StopReply('a', 7, 2, agrees=True),
     wire.StopPolicy(announces_stops=True),
 ]
 
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -48,7 +48,7 @@
         self.announced = []
         self.asked = []
         self.confirm = lambda query: [
-            wire.StopReply(query.attempt, query.boot, agrees=True)
+            wire.StopReply(query.attempt, query.boot, query.number, agrees=True)
         ]
 
     def send_to(self, peer, message):
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -99,7 +99,7 @@
 
         Older processes refuse a frame with one.
         """
-        query = wire.StopQuery('ab12', 'a:1', 5)
+        query = wire.StopQuery('ab12', 'a:1', 5, 1)
         self.server.announce_stop(query)
         newer, older = self.sockets[::2], self.sockets[1::2]
         await self.wait_until_sent(newer)
@@ -109,7 +109,7 @@
     async def test_stop_is_announced_to_one_entry(self):
         """Guards against bytes that grow with entries times moves."""
         holder = list(self.server._links)[2]
-        self.server.announce_stop(wire.StopQuery('ab12', 'a:1', 5), holder)
+        self.server.announce_stop(wire.StopQuery('ab12', 'a:1', 5, 1), holder)
         await self.wait_until_sent(self.sockets[2:3])
         self.assertEqual(1, sum(bool(each.sent) for each in self.sockets))
 
--- a/tests/test_run_stops.py
+++ b/tests/test_run_stops.py
@@ -84,7 +84,11 @@
 
         def confirm(query):
             orders.append((query.attempt, list(self.list_orders())))
-            return [wire.StopReply(query.attempt, query.boot, agrees=True)]
+            return [
+                wire.StopReply(
+                    query.attempt, query.boot, query.number, agrees=True
+                )
+            ]
 
         self.server.confirm = confirm
         self.engine.leaving = True
@@ -101,9 +105,13 @@
         It is frozen, cut off or gone. Other runs do not wait for it.
         """
         self.server.confirm = lambda query: [
-            wire.StopReply('other', query.boot, agrees=True),
-            wire.StopReply(query.attempt, query.boot + 1, agrees=True),
-            wire.StopReply(query.attempt, query.boot, query.attempt == 'big'),
+            wire.StopReply('other', query.boot, query.number, agrees=True),
+            wire.StopReply(
+                query.attempt, query.boot + 1, query.number, agrees=True
+            ),
+            wire.StopReply(
+                query.attempt, query.boot, query.number, query.attempt == 'big'
+            ),
         ][: 2 + (query.attempt == 'big')]
         self.engine.leaving = True
         await self.wait_for(lambda: ('big', 'b:1') in self.server.moves())
@@ -111,7 +119,7 @@
         self.assertEqual(['big'], self.list_orders())
         self.assertEqual([], self.list_notices())
         self.server.confirm = lambda query: [
-            wire.StopReply(query.attempt, query.boot, agrees=True)
+            wire.StopReply(query.attempt, query.boot, query.number, agrees=True)
         ]
         await self.wait_for(self.list_notices)
 
@@ -139,7 +147,9 @@
     async def test_entry_that_declines(self):
         """Guards against a run that stops though its answer cannot go on."""
         self.server.confirm = lambda query: [
-            wire.StopReply(query.attempt, query.boot, query.attempt == 'big')
+            wire.StopReply(
+                query.attempt, query.boot, query.number, query.attempt == 'big'
+            )
         ]
         self.engine.leaving = True
         await self.wait_for(lambda: ('big', 'b:1') in self.server.moves())
@@ -277,7 +287,9 @@
 
         def confirm(query):
             self.told.append((query.attempt, 'asked'))
-            reply = wire.StopReply(query.attempt, query.boot, agrees=True)
+            reply = wire.StopReply(
+                query.attempt, query.boot, query.number, agrees=True
+            )
             self.engine.gone = True
             loop = asyncio.get_running_loop()
             loop.call_later(0.15, self.keeper.handle, reply, None)
@@ -303,6 +315,31 @@
         self.assertNotIn('order', self.list_told())
         self.assertIn('stay', self.list_told())
 
+    async def test_late_reply_to_an_earlier_question(self):
+        """Guards against a stop that only an earlier question announced.
+
+        It may have been taken back meanwhile.
+        """
+        questions = []
+
+        def confirm(query):
+            if query.attempt != 'small':
+                return []
+            questions.append(query)
+            first = questions[0]
+            if query is first:
+                return []
+            return [
+                wire.StopReply(
+                    first.attempt, first.boot, first.number, agrees=True
+                )
+            ]
+
+        self.server.confirm = confirm
+        self.engine.leaving = True
+        await self.wait_for(lambda: len(questions) > 2)
+        self.assertNotIn('order', self.list_told())
+
     async def test_question_is_declined_after_an_unanswered_one(self):
         """Guards against an ended stream that waits for an order in vain."""
         replies = []
@@ -311,7 +348,11 @@
             replies.append(query.attempt)
             if query.attempt != 'small' or replies.count('small') < 2:
                 return []
-            return [wire.StopReply(query.attempt, query.boot, agrees=False)]
+            return [
+                wire.StopReply(
+                    query.attempt, query.boot, query.number, agrees=False
+                )
+            ]
 
         self.server.confirm = confirm
         self.engine.leaving = True
@@ -351,7 +392,7 @@
             call = wire.CallPlaced(name, 0, 5000)
             self.keeper.handle(call, 'link of a frozen entry')
         self.server.confirm = lambda query: [
-            wire.StopReply(query.attempt, query.boot, agrees=True)
+            wire.StopReply(query.attempt, query.boot, query.number, agrees=True)
         ][: query.attempt in {'big', 'small'}]
         self.engine.leaving = True
         await self.wait_for(lambda: len(self.server.moves()) == 2)
