--- a/tests/processes/lastmoves.py
+++ b/tests/processes/lastmoves.py
@@ -549,6 +549,8 @@
 
     With ``framed``, all streams are chunked, for comparison.
     """
+    # The processes of a play end with it, also when it is told to stop.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = False
     for seed in _as_tuple(seeds):
         for name in _as_tuple(rows):
