--- a/tests/processes/lastmoves.py
+++ b/tests/processes/lastmoves.py
@@ -29,7 +29,7 @@
 from .test_platform import make_settings
 
 _ROOT = Path(__file__).resolve().parents[2]
-_LAST_MOVES = ('copied', 'late', 'refused', 'lost', 'silent')
+_LAST_MOVES = ('copied', 'late', 'refused', 'full', 'lost', 'silent')
 _ENGINES = ('i-1', 'i-2', 'i-3')
 _CALLERS = 12
 # Of the callers, these use HTTP/1.0, whose answers end with the connection.
