Admit the retry of a repeatable plain call early in a stop

A plain call to a service that takes longer than is left is refused from the start of a stop. Where the entry that stops is the only one, its callers would be refused again and again with a Retry-After of 0.05 s, until their tries are spent. As with streams, a call that comes back early is admitted while its objective fits, if it may be repeated: a cut costs its caller no more than one more try.

test_retry_of_a_plain_call failed before and passes now.

--- a/primrosewood/stopping.py
+++ b/primrosewood/stopping.py
@@ -54,6 +54,7 @@
 
     A plain call is admitted if its deadline passes before the end, or if
     recent calls like it were answered within a part of the remaining time.
+    Early in a stop, the retry of a repeatable one is admitted as well.
 
     Attributes
     ----------
@@ -175,14 +176,32 @@
         limit = min(call.deadline, call.caller_deadline) - now
         if 0 < limit <= left - _DEADLINE_MARGIN_SECONDS:
             return _PLAIN
-        needed = call.route.objective
+        objective = call.route.objective
+        needed = objective
         if recent_seconds is not None:
-            needed = max(needed, recent_seconds / _USABLE_SHARE)
-        elif not (needed and call.route.repeatable):
+            needed = max(objective, recent_seconds / _USABLE_SHARE)
+        elif not (objective and call.route.repeatable):
             # Without recent calls, only the objective says how long such
             # calls usually take; a call that is cut must be repeatable then.
             return _TOO_LONG
-        return _PLAIN if left >= needed else _TOO_LONG
+        if left >= needed:
+            return _PLAIN
+        may_be_on_time = bool(objective) and left >= objective
+        early = now < self._balancer_noticed_at
+        if early and may_be_on_time and call.route.repeatable:
+            return self._decide_retry(call)
+        return _TOO_LONG
+
+    def _decide_retry(self, call: DirectCall) -> str:
+        """Return the reason to admit a call that was refused before."""
+        # A retry has another call name, so it is recognised by its content.
+        request_digest = digest_key(
+            call.target, call.organisation, call.body.hex()
+        )
+        if request_digest in self._refused_requests:
+            return _CAME_BACK
+        self._refused_requests.add(request_digest)
+        return _TOO_LONG
 
     def _decide(self, call: DirectCall, answer_tokens: int, now: float) -> str:
         """Return the reason to admit a stream, or `_TOO_LONG`."""
@@ -194,14 +213,7 @@
             return _ENDS_IN_TIME if fits else _TOO_LONG
         if _expected_seconds(call.size, answer_tokens) <= left:
             return _ENDS_IN_TIME
-        # A retry has another call name, so it is recognised by its content.
-        request_digest = digest_key(
-            call.target, call.organisation, call.body.hex()
-        )
-        if request_digest in self._refused_requests:
-            return _CAME_BACK
-        self._refused_requests.add(request_digest)
-        return _TOO_LONG
+        return self._decide_retry(call)
 
 
 def _expected_seconds(size: GenerationSize | None, answer_tokens: int) -> float:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -168,6 +168,21 @@
         other = make_call('c', target='/y')
         self.assertFalse(self.window.admits(other, 1500, 100.2))
 
+    def test_retry_of_a_plain_call(self):
+        """The only entry stops, and a service takes longer than is left.
+
+        Guards against refusing its callers again and again early in the stop.
+        One whose call may not be repeated is refused, and so are all late.
+        """
+        self.window.begin(100)
+        call = make_call(size=None, route=PLAIN_ROUTE)
+        self.assertFalse(self.window.admits(call, 0, 100, 7))
+        self.assertTrue(self.window.admits(call, 0, 100.1, 7))
+        self.assertFalse(self.window.admits(call, 0, 103, 7))
+        issue = make_call(size=None, route=ISSUE_ROUTE, target='/y')
+        self.assertFalse(self.window.admits(issue, 0, 100, 7))
+        self.assertFalse(self.window.admits(issue, 0, 100.1, 7))
+
     def test_length_hint_late_in_the_stop(self):
         """A caller expects 93 of at most 2,000 tokens with 2.2 s left.
 
