Send what a link still holds before it is closed, and wait no longer for it

What callers may see: an answer of which an endpoint that stops has sent a part is lost (generation_lost, outcome_unknown), as its last messages were dropped. And an endpoint beside a peer that does not read could not end its stop.

Cause: Link.close flushed what was queued, but not what the writer of the link had already taken and was still sending frame by frame. Without a limit it waited for a peer that reads nothing, and for one link after the other.

Change: one task at a time writes to a link, so close waits for the writer, at most a second; links are closed at once.

Ruled out: that any end of a link counts as the end of an answer.

--- a/primrosewood/link.py
+++ b/primrosewood/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import hmac
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 import websockets
@@ -47,6 +48,7 @@
     (wire.EngineReport, wire.EngineFound, wire.PairsQuery, wire.PairsUpdate)
 )
 _MAX_PENDING_BYTES = 262_144
+_LAST_FLUSH_SECONDS = 1.0
 
 
 class MessageSource(Protocol):
@@ -56,6 +58,14 @@
         """Return and consume the messages that may be sent now."""
 
 
+class _OutputState:
+    """Wakes the writer of a link; only one task writes at a time."""
+
+    def __init__(self) -> None:
+        self.pending = asyncio.Event()
+        self.writing = asyncio.Lock()
+
+
 class Link:
     """One established connection.
 
@@ -74,7 +84,7 @@
         self._pending_bytes = 0
         self._behind = False
         self._ready_sources: dict[MessageSource, None] = {}
-        self._output_pending = asyncio.Event()
+        self._output = _OutputState()
         self._closed = False
 
     @property
@@ -94,12 +104,12 @@
             return
         self._outbox.append(message)
         self._pending_bytes += len(message.body)
-        self._output_pending.set()
+        self._output.pending.set()
 
     def notify(self, source: MessageSource) -> None:
         """Schedule a source that has messages to send."""
         self._ready_sources[source] = None
-        self._output_pending.set()
+        self._output.pending.set()
 
     async def run(self, handle: Callable[[Message], None]) -> None:
         """Receive and send messages until the connection ends.
@@ -118,8 +128,13 @@
             await self._socket.close()
 
     async def close(self) -> None:
-        """Send all pending messages, then close the connection."""
-        await self._flush()
+        """Send all pending messages, then close the connection.
+
+        A peer that does not read delays this by a second at most.
+        """
+        with suppress(TimeoutError, websockets.ConnectionClosed):
+            async with asyncio.timeout(_LAST_FLUSH_SECONDS):
+                await self._flush()
         await self._socket.close()
 
     async def abort(self) -> None:
@@ -140,13 +155,17 @@
     async def _write(self) -> None:
         try:
             while True:
-                await self._output_pending.wait()
+                await self._output.pending.wait()
                 await self._flush()
         except websockets.ConnectionClosed:
             return
 
     async def _flush(self) -> None:
-        self._output_pending.clear()
+        async with self._output.writing:
+            await self._write_pending()
+
+    async def _write_pending(self) -> None:
+        self._output.pending.clear()
         messages, self._outbox = self._outbox, []
         sources, self._ready_sources = self._ready_sources, {}
         for source in sources:
--- a/primrosewood/linkserver.py
+++ b/primrosewood/linkserver.py
@@ -109,8 +109,7 @@
 
     async def close_links(self) -> None:
         """Close every link after sending its pending messages."""
-        for link in list(self._links):
-            await link.close()
+        await asyncio.gather(*(link.close() for link in self._links))
 
     async def _serve(self, socket: ServerConnection) -> None:
         try:
