Report no attempt that ran as not run to a repeated offer

What callers may see: a second run of a call that may run once at most, should an offer ever arrive twice. No caller has: an entry offers an attempt once, over one connection.

Cause: a repeated offer of an attempt whose answer was discarded got "not run, never offered", which frees its entry to try elsewhere.

Change: it fails as expired, as the answer to a fetch of the same attempt does.

Measured: test_delayed_copy_of_an_offer_that_ran fails before and passes now.

--- a/primrosewood/worker.py
+++ b/primrosewood/worker.py
@@ -232,10 +232,14 @@
 
     def _handle_offer(self, offer: wire.Offer, link: Link) -> None:
         state = self._attempts.find_state(offer.attempt)
-        if state in {AttemptState.refused, AttemptState.ran}:
-            # A delayed duplicate of an offer that was answered before.
+        # A delayed duplicate of an offer may have been answered before.
+        if state is AttemptState.refused:
             self._send_not_run(link, offer.attempt, ErrorKind.never_offered)
             return
+        if state is AttemptState.ran:
+            kind = ErrorKind.answer_expired
+            link.send(wire.Failed(offer.attempt, kind.value, ''))
+            return
         job = self._attempts.find(offer.attempt)
         if job is not None:
             self._subscribers.add(job, offer.attempt, link)
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -191,6 +191,18 @@
         self.assertEqual(ErrorKind.never_offered, self.last_refusal())
         self.assertEqual([], self.backend.calls)
 
+    async def test_delayed_copy_of_an_offer_that_ran(self):
+        """Guards against a call that ran and is reported as not run."""
+        self.worker = self.make_worker(Limits(kept_bytes=1))
+        self.apply_settings(kind='plain')
+        await self.offer(method='POST', path='/x')
+        self.worker.drop_link(self.link)
+        self.worker.tick()
+        await self.offer(method='POST', path='/x')
+        self.assertEqual('Failed', self.link.message_types()[-1])
+        self.assertEqual('answer_expired', self.link.sent[-1].kind)
+        self.assertEqual(1, len(self.backend.calls))
+
     async def test_repeated_offer_runs_once(self):
         self.apply_settings()
         await self.offer()
