Keep memory for small answers beside large ones

Cause: all answers share the memory, and the bodies took it to the last byte before each was refused.

Change: a quarter of it is left to answers of up to 64 KB. The largest single answer that is held shrinks from 24 MB to 18 MB.

Measured: AnswerMemoryTest failed before with 'no memory for an answer of over 0 bytes' and passes now.

--- a/primrosewood/answermemory.py
+++ b/primrosewood/answermemory.py
@@ -8,6 +8,10 @@
 
 __all__ = ('AnswerMemory', 'HeldAnswer', 'require_stream_size')
 
+# Answers up to this size find memory also beside large ones.
+_SMALL_ANSWER_BYTES = 65_536
+# Part of the memory that is kept for them.
+_SMALL_ANSWERS_SHARE = 1 / 4
 _MAX_STREAM_BYTES = 268_435_456
 _SMALL_STREAM_BYTES = 2_097_152
 _MAX_BYTES_PER_TOKEN = 8192
@@ -20,6 +24,8 @@
     ----------
     free_bytes
         What further answers may take.
+    reserved_bytes
+        Part of the limit that only small answers may take.
     """
 
     def __init__(self, limit_bytes: int = 25_165_824) -> None:
@@ -31,6 +37,7 @@
             Largest sum of the answers that are held.
         """
         self.free_bytes = limit_bytes
+        self.reserved_bytes = int(limit_bytes * _SMALL_ANSWERS_SHARE)
 
     @contextmanager
     def open(self) -> Iterator['HeldAnswer']:
@@ -63,7 +70,7 @@
         self.drop()
         parts: list[bytes] = []
         async for part in reply.parts():
-            if len(part) > self._memory.free_bytes:
+            if len(part) > self._find_free_bytes(len(part)):
                 raise OversizedAnswerError(
                     f'no memory for an answer of over {self._size} bytes'
                 )
@@ -78,6 +85,12 @@
         self._memory.free_bytes += self._size
         self._size = 0
 
+    def _find_free_bytes(self, further_bytes: int) -> int:
+        memory = self._memory
+        if self._size + further_bytes <= _SMALL_ANSWER_BYTES:
+            return memory.free_bytes
+        return memory.free_bytes - memory.reserved_bytes
+
 
 def require_stream_size(call: DirectCall, received_bytes: int) -> None:
     """Check the size of a stream by the tokens that its caller allows.
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -168,6 +168,32 @@
             require_stream_size(make_call(), 300_000_000)
 
 
+class _Reply:
+    status = 200
+    headers = ()
+
+    def __init__(self, *sizes):
+        self.sizes = sizes
+
+    async def parts(self):
+        for size in self.sizes:
+            yield b'x' * size
+
+
+class AnswerMemoryTest(unittest.IsolatedAsyncioTestCase):
+    """Answers that are held beside others."""
+
+    async def test_small_answer_beside_large_ones(self):
+        """Guards against one back end that costs the answers of all others."""
+        memory = AnswerMemory(1_000_000)
+        with memory.open() as large, memory.open() as small:
+            with self.assertRaises(OversizedAnswerError):
+                await large.read(_Reply(*[50_000] * 100))
+            head, _body = await small.read(_Reply(30_000, 30_000))
+            self.assertEqual(60_000, head.length)
+        self.assertEqual(1_000_000, memory.free_bytes)
+
+
 class ControlAnswerTest(_EndlessServerCase):
     """Answers of an engine to the process beside it."""
 
