Read little at a time from servers, and search events once

What callers saw: while all eight slots of one engine sent tiny chunks, tiny events or interim answers without end, calls to sound services got 503, or waited for up to 2 s. The memory of the entry grew by 50 MB over a play of all kinds of endless bytes.

Cause: 256 KB were read and parsed at a time from each connection while all other work waited, and connections to sound back ends timed out. 10,000 heads of interim answers fit into one such read, and all were kept. An event that never ends was searched from its beginning at each read.

Ruled out: bodies, headers and chunk framing that are kept without a bound; of 18 kinds none exceeded the 24 MB for answers by itself.

Change: clients read 8 KB at a time, take 64 heads for one answer, and search only the new bytes for the end of an event.

--- a/primrosewood/boundedanswers.py
+++ b/primrosewood/boundedanswers.py
@@ -5,6 +5,7 @@
 long as they come, at the cost of a whole processor.
 """
 
+import asyncio
 import functools
 from collections.abc import AsyncIterator
 from typing import Any
@@ -25,6 +26,10 @@
 # Heads of answers and the framing of short chunks take less.
 _MAX_OVERHEAD_BYTES = 262_144
 _MAX_OVERHEAD_PER_BYTE = 16
+# Interim answers, which come before the real one.
+_MAX_HEADS = 64
+# What arrives at once is parsed at once, while all other work waits.
+_MAX_READ_BYTES = 8192
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -46,13 +51,20 @@
         """Start before the first answer."""
         super().__init__(loop=loop)
         self._received_bytes = 0
+        self._heads = 0
         self._content: aiohttp.StreamReader | None = None
         self.oversized: OversizedAnswerError | None = None
         self.was_reset = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound what is read at a time."""
+        transport.max_size = _MAX_READ_BYTES
+        super().connection_made(transport)
+
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the next answer."""
         self._received_bytes = 0
+        self._heads = 0
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
@@ -63,8 +75,17 @@
         content_bytes = getattr(self._payload, 'total_bytes', 0)
         overhead = self._received_bytes - content_bytes
         allowed = _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_PER_BYTE * content_bytes
-        if overhead > allowed and self.transport is not None:
-            self._close_oversized(overhead)
+        if self.transport is None:
+            return
+        if overhead > allowed:
+            self._close_oversized(f'{overhead} bytes that are no content')
+        elif self._heads > _MAX_HEADS:
+            self._close_oversized(f'{self._heads} heads for one answer')
+
+    def feed_data(self, *message: Any) -> None:
+        """Take the head of an answer, interim ones included."""
+        self._heads += 1
+        super().feed_data(*message)
 
     def set_exception(
         self, exc: BaseException, *exc_cause: BaseException
@@ -87,10 +108,8 @@
         """Report malformed bytes to the reader of an answer's content."""
         self._content = content
 
-    def _close_oversized(self, overhead: int) -> None:
-        self.oversized = OversizedAnswerError(
-            f'{overhead} bytes that are no content'
-        )
+    def _close_oversized(self, why: str) -> None:
+        self.oversized = OversizedAnswerError(why)
         content, self._payload = self._payload, None
         self.set_exception(self.oversized)
         if content is not None:
--- a/primrosewood/events.py
+++ b/primrosewood/events.py
@@ -12,6 +12,7 @@
 _EVENT_END = re.compile(
     rb'\n\n|\r\n\r\n|\r\r(?!\n)|\n\r\n|\r\n\n|\r\r\n',
 )
+_MAX_END_BYTES = 4
 _ID_FIELD = b'id:'
 _MAX_EVENT_BYTES = 1_048_576
 
@@ -43,7 +44,10 @@
             An event exceeds the greatest length.
         """
         received = self._rest + chunk
-        edges = [0, *(match.end() for match in _EVENT_END.finditer(received))]
+        # The rest has no end of an event, and may be searched very often.
+        start = max(0, len(self._rest) - _MAX_END_BYTES + 1)
+        ends = _EVENT_END.finditer(received, start)
+        edges = [0, *(match.end() for match in ends)]
         self._rest = received[edges[-1] :]
         if len(self._rest) > _MAX_EVENT_BYTES:
             raise WireError('an event is too long')
