Read numbers of tokens as numbers only

What callers saw: a call whose number of tokens was written in digits that are no ASCII digits, or with 400 of them, got 500 (eight calls of eight in four forms); a larger maximum was taken as it stood into the sums of estimates.

Cause: str.isdigit takes other digits than int does, and no float can hold an integer of 400 digits.

Ruled out: that such calls cost others; sound calls beside them were answered. Odd deadlines, prompt parts and event ids of callers did no harm.

Change: what is not 1 to 18 ASCII digits counts as not stated; the header is forwarded as it came.

Measured: TokenUsageTest of tests.test_odd_documents failed before and passes now.

--- a/primrosewood/platform/headers.py
+++ b/primrosewood/platform/headers.py
@@ -1,5 +1,6 @@
 """Names of the platform's headers, and which headers are forwarded."""
 
+import re
 from collections.abc import Iterable
 
 from ..directcalls import GenerationSize, Header
@@ -65,6 +66,7 @@
 LOWEST_PRIORITY = 9
 
 _MS_PER_SECOND = 1000
+_TOKENS = re.compile('[0-9]{1,18}')
 _MAX_PARTS = 64
 _MAX_PART_CHARACTERS = 64
 
@@ -179,15 +181,13 @@
     """
     usage = find_header(headers, TOKEN_USAGE)
     prompt, _comma, max_tokens = usage.partition(',')
-    if not prompt.strip().isdigit():
+    prompt_tokens = _parse_tokens(prompt)
+    if prompt_tokens is None:
         return None
-    hint = find_header(headers, _LENGTH_HINT).strip()
     return GenerationSize(
-        prompt_tokens=int(prompt),
-        max_answer_tokens=int(max_tokens)
-        if max_tokens.strip().isdigit()
-        else 0,
-        hint=int(hint) if hint.isdigit() else 0,
+        prompt_tokens=prompt_tokens,
+        max_answer_tokens=_parse_tokens(max_tokens) or 0,
+        hint=_parse_tokens(find_header(headers, _LENGTH_HINT)) or 0,
     )
 
 
@@ -209,3 +209,13 @@
         for pair in filter_caller_headers(headers)
         if pair[0].lower() not in _VOLATILE_HEADERS
     )
+
+
+def _parse_tokens(text: str) -> int | None:
+    """Return a number of tokens, None for any other text.
+
+    Estimates are sums over many calls, in which a number that no float can
+    hold would raise an error.
+    """
+    match = _TOKENS.fullmatch(text.strip())
+    return None if match is None else int(text)
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -10,12 +10,14 @@
 
 from primrosewood.announce import MEMBERS_PREFIX, parse_member
 from primrosewood.clock import SystemClock
+from primrosewood.directcalls import GenerationSize
 from primrosewood.errors import WireError
 from primrosewood.etcd import EtcdKeyValue, encode_base64
 from primrosewood.fleet import Fleet
 from primrosewood.gen_process import Timing
 from primrosewood.gen_stored import MemberRecord
 from primrosewood.kv import MemoryKeyValue
+from primrosewood.platform.headers import TOKEN_USAGE, parse_size
 from primrosewood.settings import SETTINGS_PREFIX, SettingsStore, parse_stored
 from primrosewood.vmlist import VmListPoller
 from primrosewood.watcher import PollSchedule, Watcher
@@ -236,5 +238,22 @@
         self.assertIn('p/one', {pair.key for pair in listing.pairs})
 
 
+class TokenUsageTest(unittest.TestCase):
+    """Numbers of tokens that callers state."""
+
+    def test_odd_numbers(self):
+        """Guards against a request that is refused as an internal error."""
+        for text in ('\u00b2', str(_HUGE), '9' * 5000, '-1', '1_0', '1e3', ''):
+            with self.subTest(text[:9]):
+                self.assertIsNone(parse_size([(TOKEN_USAGE, f'{text},8')]))
+                size = parse_size(
+                    [
+                        (TOKEN_USAGE, f'7,{text}'),
+                        ('Primrosewood-Length-Hint', text),
+                    ]
+                )
+                self.assertEqual(GenerationSize(7, 0, 0), size)
+
+
 if __name__ == '__main__':
     unittest.main()
