Refuse event ids that are too large to count from

What callers saw: a stream with an event id of over 4300 digits ended by an unexpected error, as int refuses such texts with ValueError, where a fault of the stream is a WireError and lets the stream go on elsewhere.

Ruled out: other calls; the error ended the call of that stream only.

Change: an id of more than 18 digits is refused as one that is out of order.

Measured: EventIdTest of tests.test_odd_documents failed before and passes now.

--- a/primrosewood/events.py
+++ b/primrosewood/events.py
@@ -14,6 +14,7 @@
 )
 _MAX_END_BYTES = 4
 _ID_FIELD = b'id:'
+_MAX_ID_DIGITS = 18
 _MAX_EVENT_BYTES = 1_048_576
 
 
@@ -55,11 +56,21 @@
 
 
 def read_event_id(event: bytes) -> int | None:
-    """Return the number in an event's id field, None if it has none."""
+    """Return the number in an event's id field, None if it has none.
+
+    Raises
+    ------
+    WireError
+        The number is too large to count from.
+    """
     for line in event.splitlines():
         if line.startswith(_ID_FIELD):
             digits = line[len(_ID_FIELD) :].strip()
-            return int(digits) if digits.isdigit() else None
+            if not digits.isdigit():
+                return None
+            if len(digits) > _MAX_ID_DIGITS:
+                raise WireError(f'an event id of {len(digits)} digits')
+            return int(digits)
     return None
 
 
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -13,6 +13,7 @@
 from primrosewood.directcalls import GenerationSize
 from primrosewood.errors import WireError
 from primrosewood.etcd import EtcdKeyValue, encode_base64
+from primrosewood.events import StreamOrder
 from primrosewood.fleet import Fleet
 from primrosewood.gen_process import Timing
 from primrosewood.gen_stored import MemberRecord
@@ -255,5 +256,16 @@
                 self.assertEqual(GenerationSize(7, 0, 0), size)
 
 
+class EventIdTest(unittest.TestCase):
+    """Ids of events that back ends state."""
+
+    def test_odd_ids(self):
+        """Guards against a stream that ends by an error of another kind."""
+        for digits in ('9' * 5000, str(_HUGE)):
+            event = f'id: {digits}\ndata: x\n\n'.encode()
+            with self.subTest(len(digits)), self.assertRaises(WireError):
+                StreamOrder().accept(event)
+
+
 if __name__ == '__main__':
     unittest.main()
