Refuse numbers of more than 64 bits in messages of peers

What callers saw: nothing yet; a member that reports a load of 10^400 raises OverflowError wherever it is compared with others, so for every request for its service.

Cause: CBOR has integers of any size, and the schema sets no upper bounds.

Change: a frame with such a number is refused as a whole, like any other that does not match; the check runs only where a byte that begins one occurs.

Ruled out: floats from numbers that none can hold; msgspec refuses those.

--- a/primrosewood/codec.py
+++ b/primrosewood/codec.py
@@ -1,8 +1,9 @@
 """Serialises frames, which are CBOR arrays of (code, fields) messages."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from io import BytesIO
+from itertools import chain
 from types import MappingProxyType
 from typing import Any
 
@@ -76,6 +77,9 @@
 
 # Major type of arrays in CBOR.
 _CBOR_ARRAY = 4
+# Tags of numbers of more than 64 bits; the bytes occur in texts too.
+_CBOR_BIG_NUMBERS = (b'\xc2', b'\xc3')
+_MAX_NUMBER = 18_446_744_073_709_551_615
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,9 +135,40 @@
         raise WireError(f'not CBOR: {type(error).__name__}') from error
     if not isinstance(encoded_messages, list):
         raise WireError('a frame must be an array')
+    if any(tag in frame for tag in _CBOR_BIG_NUMBERS):
+        _require_small_numbers(encoded_messages)
     return [_decode_message(encoded) for encoded in encoded_messages]
 
 
+def _require_small_numbers(decoded: Any) -> None:
+    """Check for numbers of more than 64 bits.
+
+    Where they are compared or divided, the largest of them raise errors that
+    would cost the work with all other peers.
+
+    Raises
+    ------
+    WireError
+        There is one.
+    """
+    pending = [decoded]
+    # CBOR may refer to what is around it.
+    seen: set[int] = set()
+    while pending:
+        found = pending.pop()
+        if isinstance(found, int) and abs(found) > _MAX_NUMBER:
+            raise WireError('a number is too large')
+        if id(found) not in seen:
+            seen.add(id(found))
+            pending.extend(_list_members(found))
+
+
+def _list_members(found: Any) -> Iterable[Any]:
+    if isinstance(found, dict):
+        return chain(found, found.values())
+    return found if isinstance(found, list | tuple | set | frozenset) else ()
+
+
 def _decode_message(encoded: Any) -> Message:
     try:
         code, fields = encoded
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -8,8 +8,10 @@
 import msgspec
 from aiohttp import web
 
+from primrosewood import gen_wire as wire
 from primrosewood.announce import MEMBERS_PREFIX, parse_member
 from primrosewood.clock import SystemClock
+from primrosewood.codec import parse_frame, serialise_frame
 from primrosewood.directcalls import GenerationSize
 from primrosewood.errors import WireError
 from primrosewood.etcd import EtcdKeyValue, encode_base64
@@ -267,5 +269,34 @@
                 StreamOrder().accept(event)
 
 
+class FrameTest(unittest.TestCase):
+    """Numbers in the messages of peers."""
+
+    def test_number_that_no_float_holds(self):
+        """Guards against one peer's load that no other can be compared with."""
+        load = wire.Load(running=1, queued=0, limit=1)
+        sound = wire.Heartbeat(digest=2**64 - 1, load=load)
+        self.assertEqual([sound], parse_frame(serialise_frame([sound])))
+        for number in (_HUGE, -_HUGE, 2**64):
+            odd = wire.Load(running=number, queued=0, limit=1)
+            frame = serialise_frame([wire.Heartbeat(digest=1, load=odd)])
+            with self.subTest(str(number)[:9]), self.assertRaises(WireError):
+                parse_frame(frame)
+
+    def test_frame_that_contains_itself(self):
+        """Guards against a check for numbers that never ends."""
+        # [28([29(0), 2**64])], a list whose first member is the list.
+        frame = bytes.fromhex('81d81c82d81d00c249010000000000000000')
+        with self.assertRaises(WireError):
+            parse_frame(frame)
+        with self.assertRaises(WireError):
+            parse_frame(bytes.fromhex('81d81c82d81d0062c383'))
+
+    def test_texts(self):
+        """Guards against a check for numbers that takes texts for them."""
+        query = wire.CapacityQuery(service='caf\u00e9 \u00c2')
+        self.assertEqual([query], parse_frame(serialise_frame([query])))
+
+
 if __name__ == '__main__':
     unittest.main()
