--- a/primrosewood/events.py
+++ b/primrosewood/events.py
@@ -12,7 +12,9 @@
 _EVENT_END = re.compile(
     rb'\n\n|\r\n\r\n|\r\r(?!\n)|\n\r\n|\r\n\n|\r\r\n',
 )
+_MAX_END_BYTES = 4
 _ID_FIELD = b'id:'
+_MAX_ID_DIGITS = 18
 _MAX_EVENT_BYTES = 1_048_576
 
 
@@ -43,7 +45,10 @@
             An event exceeds the greatest length.
         """
         received = self._rest + chunk
-        edges = [0, *(match.end() for match in _EVENT_END.finditer(received))]
+        # The rest has no end of an event, and may be searched very often.
+        start = max(0, len(self._rest) - _MAX_END_BYTES + 1)
+        ends = _EVENT_END.finditer(received, start)
+        edges = [0, *(match.end() for match in ends)]
         self._rest = received[edges[-1] :]
         if len(self._rest) > _MAX_EVENT_BYTES:
             raise WireError('an event is too long')
@@ -51,11 +56,21 @@
 
 
 def read_event_id(event: bytes) -> int | None:
-    """Return the number in an event's id field, None if it has none."""
+    """Return the number in an event's id field, None if it has none.
+
+    Raises
+    ------
+    WireError
+        The number is too large to count from.
+    """
     for line in event.splitlines():
         if line.startswith(_ID_FIELD):
             digits = line[len(_ID_FIELD) :].strip()
-            return int(digits) if digits.isdigit() else None
+            if not digits.isdigit():
+                return None
+            if len(digits) > _MAX_ID_DIGITS:
+                raise WireError(f'an event id of {len(digits)} digits')
+            return int(digits)
     return None
 
 
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -8,14 +8,19 @@
 import msgspec
 from aiohttp import web
 
+from primrosewood import gen_wire as wire
 from primrosewood.announce import MEMBERS_PREFIX, parse_member
 from primrosewood.clock import SystemClock
+from primrosewood.codec import parse_frame, serialise_frame
+from primrosewood.directcalls import GenerationSize
 from primrosewood.errors import WireError
 from primrosewood.etcd import EtcdKeyValue, encode_base64
+from primrosewood.events import StreamOrder
 from primrosewood.fleet import Fleet
 from primrosewood.gen_process import Timing
 from primrosewood.gen_stored import MemberRecord
 from primrosewood.kv import MemoryKeyValue
+from primrosewood.platform.headers import TOKEN_USAGE, parse_size
 from primrosewood.settings import SETTINGS_PREFIX, SettingsStore, parse_stored
 from primrosewood.vmlist import VmListPoller
 from primrosewood.watcher import PollSchedule, Watcher
@@ -236,5 +241,62 @@
         self.assertIn('p/one', {pair.key for pair in listing.pairs})
 
 
+class TokenUsageTest(unittest.TestCase):
+    """Numbers of tokens that callers state."""
+
+    def test_odd_numbers(self):
+        """Guards against a request that is refused as an internal error."""
+        for text in ('\u00b2', str(_HUGE), '9' * 5000, '-1', '1_0', '1e3', ''):
+            with self.subTest(text[:9]):
+                self.assertIsNone(parse_size([(TOKEN_USAGE, f'{text},8')]))
+                size = parse_size(
+                    [
+                        (TOKEN_USAGE, f'7,{text}'),
+                        ('Primrosewood-Length-Hint', text),
+                    ]
+                )
+                self.assertEqual(GenerationSize(7, 0, 0), size)
+
+
+class EventIdTest(unittest.TestCase):
+    """Ids of events that back ends state."""
+
+    def test_odd_ids(self):
+        """Guards against a stream that ends by an error of another kind."""
+        for digits in ('9' * 5000, str(_HUGE)):
+            event = f'id: {digits}\ndata: x\n\n'.encode()
+            with self.subTest(len(digits)), self.assertRaises(WireError):
+                StreamOrder().accept(event)
+
+
+class FrameTest(unittest.TestCase):
+    """Numbers in the messages of peers."""
+
+    def test_number_that_no_float_holds(self):
+        """Guards against one peer's load that no other can be compared with."""
+        load = wire.Load(running=1, queued=0, limit=1)
+        sound = wire.Heartbeat(digest=2**64 - 1, load=load)
+        self.assertEqual([sound], parse_frame(serialise_frame([sound])))
+        for number in (_HUGE, -_HUGE, 2**64):
+            odd = wire.Load(running=number, queued=0, limit=1)
+            frame = serialise_frame([wire.Heartbeat(digest=1, load=odd)])
+            with self.subTest(str(number)[:9]), self.assertRaises(WireError):
+                parse_frame(frame)
+
+    def test_frame_that_contains_itself(self):
+        """Guards against a check for numbers that never ends."""
+        # [28([29(0), 2**64])], a list whose first member is the list.
+        frame = bytes.fromhex('81d81c82d81d00c249010000000000000000')
+        with self.assertRaises(WireError):
+            parse_frame(frame)
+        with self.assertRaises(WireError):
+            parse_frame(bytes.fromhex('81d81c82d81d0062c383'))
+
+    def test_texts(self):
+        """Guards against a check for numbers that takes texts for them."""
+        query = wire.CapacityQuery(service='caf\u00e9 \u00c2')
+        self.assertEqual([query], parse_frame(serialise_frame([query])))
+
+
 if __name__ == '__main__':
     unittest.main()
