Let callers on HTTP/1.1 have what was sent before an answer broke off

Cause: an abort that resets also drops what the kernel has yet to send, so that callers who see by the framing that an answer is incomplete lost its last part, which they had before. A reset was needed only where the end of the connection is all that a caller sees, and is in force there from the head on.

--- a/primrosewood/connectionends.py
+++ b/primrosewood/connectionends.py
@@ -10,17 +10,21 @@
 
 from aiohttp import HttpVersion11, web
 
-__all__ = ('close_when_sent', 'reset_connection', 'reset_unless_complete')
+__all__ = ('abort_connection', 'close_when_sent', 'reset_unless_complete')
 
 # Fields of struct linger: whether it is in force, and its seconds.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _CLOSE_NORMALLY = struct.pack('ii', 0, 0)
 
 
-def reset_connection(transport: asyncio.Transport | None) -> None:
-    """Reset a connection; nothing if it is closed already."""
+def abort_connection(transport: asyncio.Transport | None) -> None:
+    """End a connection under an answer; nothing if it is closed already.
+
+    A caller on HTTP/1.1 still gets what was sent, and sees by the framing that
+    it is not whole. Where the end of the connection is all that a caller sees,
+    `reset_unless_complete` has been called.
+    """
     if transport is not None:
-        _set_linger(transport, _RESET_ON_CLOSE)
         transport.abort()
 
 
--- a/primrosewood/eventwriter.py
+++ b/primrosewood/eventwriter.py
@@ -4,8 +4,8 @@
 
 from .answers import AnswerFormat
 from .connectionends import (
+    abort_connection,
     close_when_sent,
-    reset_connection,
     reset_unless_complete,
 )
 from .errors import ErrorKind, RequestFailedError
@@ -72,8 +72,8 @@
     async def end(self) -> web.StreamResponse:
         """Finish and return the response.
 
-        Without a last event or an error the connection is reset, so that the
-        response does not look complete.
+        Without a last event or an error the connection is aborted, so that
+        the response does not look complete.
 
         Raises
         ------
@@ -83,7 +83,7 @@
         if self._response is None:
             raise RequestFailedError(ErrorKind.cancelled)
         if not self._complete:
-            reset_connection(self._request.transport)
+            abort_connection(self._request.transport)
             return self._response
         try:
             await self._finish()
--- a/primrosewood/platform/frontend.py
+++ b/primrosewood/platform/frontend.py
@@ -12,8 +12,8 @@
 from ..bodymemory import BodyMemory, HeldBody
 from ..clock import Clock, RandomSource
 from ..connectionends import (
+    abort_connection,
     close_when_sent,
-    reset_connection,
     reset_unless_complete,
 )
 from ..directcalls import AnswerHead, DirectCall, Header
@@ -113,7 +113,7 @@
             return web.Response()
         except ConnectionError:
             self._record_disconnect(request)
-            reset_connection(request.transport)
+            abort_connection(request.transport)
             return web.Response()
         except asyncio.CancelledError:
             self._record_disconnect(request)
@@ -333,14 +333,14 @@
             await self._response.write(body)
 
     def abort(self) -> None:
-        """Reset the connection, so that a partial response looks incomplete.
+        """Abort the connection, so that a partial response looks incomplete.
 
         Raises
         ------
         ConnectionAbortedError
             In any case, as there is no response to return.
         """
-        reset_connection(self._request.transport)
+        abort_connection(self._request.transport)
         raise ConnectionAbortedError
 
     async def end(self) -> web.StreamResponse:
