Keep the first reply to a question in one place

Cause: the reply about a target and the confirmation of a stop kept their first answer and waited for it with the same lines, written twice; and a line on ended processes was hard to read.

Change: both derive from one class that keeps the first answer; which reply belongs to the question stays with each. No behaviour changes.

--- a/primrosewood/answerends.py
+++ b/primrosewood/answerends.py
@@ -136,7 +136,8 @@
     async def _is_gone(self, backend: Backend) -> bool:
         """Return whether an engine's process has ended.
 
-        Its connections are then closed by the kernel, as if it had.
+        The kernel closes the connections of such a process just as a process
+        closes them after whole answers.
         """
         with suppress(TimeoutError):
             async with asyncio.timeout(_PROBE_SECONDS):
--- a/primrosewood/movequeries.py
+++ b/primrosewood/movequeries.py
@@ -37,56 +37,54 @@
     report_copy: Callable[[str], None]
 
 
-class TargetReply:
-    """Reply of the first entry that says whether one engine takes calls.
+class _FirstReply:
+    """The first reply to one question; those to others come late."""
 
-    Replies about other engines, which come late, do not count.
-    """
+    def __init__(self) -> None:
+        self._received = asyncio.Event()
+        self._answer: bool | None = None
+
+    async def wait(self, seconds: float) -> bool | None:
+        """Return the answer, None without a reply in time."""
+        await wait_until_set(self._received, seconds)
+        return self._answer
+
+    def _keep(self, answer: bool) -> None:
+        if not self._received.is_set():
+            self._answer = answer
+            self._received.set()
+
+
+class TargetReply(_FirstReply):
+    """Whether one engine takes calls, as the first entry says that replies."""
 
     def __init__(self, asked: BackendIdentity | None = None) -> None:
         """Wait for the reply about one engine; about none by default."""
+        super().__init__()
         self._asked = asked
-        self._received = asyncio.Event()
-        self._takes_calls: bool | None = None
 
     def handle(self, message: wire.TargetReply) -> None:
         """Keep a reply if it is the first one about this engine."""
         asked = self._asked
-        if asked is None or self._received.is_set():
+        if asked is None:
             return
         if (message.name, message.boot) == (asked.name, asked.boot):
-            self._takes_calls = message.takes_calls
-            self._received.set()
-
-    async def wait(self, seconds: float) -> bool | None:
-        """Return whether it takes calls, None without a reply in time."""
-        await wait_until_set(self._received, seconds)
-        return self._takes_calls
+            self._keep(message.takes_calls)
 
 
-class StopConfirmation:
-    """Reply of the entry that holds the stream of a generation.
-
-    Replies to other questions, which come late, do not count.
-    """
+class StopConfirmation(_FirstReply):
+    """Whether a generation may be stopped, as the holder of its stream says."""
 
     def __init__(self, query: wire.StopQuery | None = None) -> None:
         """Wait for the reply to one question; to none by default."""
+        super().__init__()
         self._query = query
-        self._received = asyncio.Event()
-        self._agrees: bool | None = None
 
     def handle(self, reply: wire.StopReply) -> None:
         """Keep a reply if it is the first one to this question."""
         query = self._query
-        if query is None or self._received.is_set():
+        if query is None:
             return
         asked = (query.attempt, query.boot, query.number)
         if (reply.attempt, reply.boot, reply.number) == asked:
-            self._agrees = reply.agrees
-            self._received.set()
-
-    async def wait(self, seconds: float) -> bool | None:
-        """Return whether it may be stopped, None without a reply in time."""
-        await wait_until_set(self._received, seconds)
-        return self._agrees
+            self._keep(reply.agrees)
