--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -167,6 +167,8 @@
         self.processes = []
         self.store = Store()
         self.port = free_port()
+        # Loopback network of this run, as metrics have a fixed port.
+        self.net = f'127.{10 + os.getpid() % 200}'
         self.began = time.monotonic()
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self.routes = []
@@ -207,7 +209,7 @@
 
     async def start_entry(self, number, zone='z1'):
         """Start an entry with a host of its own; return its process."""
-        ip = f'127.0.1.{number}'
+        ip = f'{self.net}.1.{number}'
         fields = {
             'node_name': f'edge-{number}', 'ip': ip, 'zone': zone,
             'port_range': [self.port + 3, self.port + 18],
@@ -225,7 +227,7 @@
         fields = {
             'node_name': f'side-{number}', 'ip': ip, 'zone': zone,
             'port_range': [self.port + 3, self.port + 18],
-            'seeds': [f'127.0.1.1:{self.port + 2}'],
+            'seeds': [f'{self.net}.1.1:{self.port + 2}'],
             'app': app, 'service': service,
         }
         return await self.start_role('endpoint', fields)
@@ -233,7 +235,7 @@
     async def start_server(self, number, **options):
         """Start a back end with a host of its own; return its process."""
         options = {
-            'name': f'i-{number}', 'host': f'127.0.2.{number}',
+            'name': f'i-{number}', 'host': f'{self.net}.2.{number}',
             'port': self.port, 'log': str(self.temp / f'i-{number}.jsonl'),
             **options}
         process = await self.spawn(
@@ -317,14 +319,48 @@
 
 
 def free_port():
-    """Return the first of some ports that are free on all addresses."""
-    for _ in range(100):
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            port = probe.getsockname()[1]
-        if port < 60000:
-            return port
-    return 20000 + os.getpid() % 20000
+    """Return the first of 20 ports that are free, below the ephemeral ones."""
+    start = 20000 + os.getpid() * 60 % 9000
+    for first in range(start, start + 2000, 20):
+        try:
+            for port in range(first, first + 20):
+                with socket.socket() as probe:
+                    probe.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(('127.0.0.1', port))
+        except OSError:
+            continue
+        return first
+    raise RuntimeError('no free ports')
+
+
+def run_case(play, folder, seconds=115):
+    """Run a case; exit with 1 if the rule broke, 0 if it held, 2 otherwise.
+
+    ``play`` gets the deployment and returns whether the rule was broken.
+    """
+    async def main():
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        lab = Lab(folder)
+        try:
+            await lab.store.start('127.0.0.1', lab.port)
+            async with asyncio.timeout(seconds):
+                broken = await play(lab)
+            lab.note('RULE BROKEN' if broken else 'rule held')
+            return 1 if broken else 0
+        except (Exception, asyncio.CancelledError) as error:
+            lab.note(f'could not run: {type(error).__name__}: {error}')
+            return 2
+        finally:
+            await lab.close()
+
+    code = asyncio.run(main())
+    sys.stdout.flush()
+    # Channels that are still open need no tidying up.
+    os._exit(code)
 
 
 async def call(address, method, path, headers, body=b'', seconds=60,
--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -27,7 +27,7 @@
     'work': 0.05,
     'parts': 1,
     'part_pause': 0.0,
-    'kv_total': 34310,
+    'kv_total': 34525,
     # Seconds of a copy of a run's memory, and of its last part.
     'copy': 0.03,
     'last_copy': 0.01,
@@ -158,6 +158,7 @@
         body = body[:o['bytes']]
         framing = o['framing']
         head = make_head(200, sealed, framing, len(body))
+        self.note('begun', id=attempt)
         writer.write(head)
         size = -(-len(body) // o['parts'])
         for start in range(0, len(body), size):
