--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -29,14 +29,19 @@
 # As in the sheet of hw-vloot.
 FIELDS = {
     'bounds': {
-        'grace_s': 8, 'retry_budget_ratio': 0.2, 'retry_slack': 58,
-        'budget_window_s': 10, 'cold_overrun': 1.5, 'cold_slack': 5,
+        'grace_s': 8,
+        'retry_budget_ratio': 0.2,
+        'retry_slack': 58,
+        'budget_window_s': 10,
+        'cold_overrun': 1.5,
+        'cold_slack': 5,
     },
 }
 
 
 def fill_template(text, fields):
     """Fill in a template of settings, as the platform does."""
+
     def find(match):
         name, _bar, kind = match.group(1).partition('|')
         value = fields
@@ -48,6 +53,7 @@
         if kind == 'json':
             return json.dumps(value)
         return '' if value is None else str(value)
+
     return re.sub(r'\{\{([^}]+)\}\}', find, text)
 
 
@@ -65,21 +71,28 @@
         self.state = 'ok'
 
     def put(self, key, document):
-        value = document if isinstance(document, bytes) else json.dumps(
-            document).encode()
+        """Write a key."""
+        value = (
+            document
+            if isinstance(document, bytes)
+            else json.dumps(document).encode()
+        )
         self.revision += 1
-        item = {'key': key, 'value': base64.b64encode(value).decode(),
-                'revision': self.revision,
-                'created': self.items.get(key, {}).get(
-                    'created', self.revision), 'lease': 0}
+        item = {
+            'key': key,
+            'value': base64.b64encode(value).decode(),
+            'revision': self.revision,
+            'created': self.items.get(key, {}).get('created', self.revision),
+            'lease': 0,
+        }
         self.items[key] = item
         self._note(item)
 
     def remove(self, key):
+        """Delete a key."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self._note({'key': key, 'revision': self.revision,
-                        'removed': True})
+            self._note({'key': key, 'revision': self.revision, 'removed': True})
 
     def _note(self, event):
         self.history.append(event)
@@ -87,11 +100,13 @@
         changed.set()
 
     async def start(self, host, port):
+        """Listen on an address."""
         self.address = f'{host}:{port}'
         await asyncio.start_server(self._connected, host, port)
 
     async def _connected(self, reader, writer):
         from server import make_head, read_request
+
         try:
             while True:
                 request = await read_request(reader)
@@ -105,9 +120,15 @@
                 else:
                     status, document = await self._answer(*request)
                 body = json.dumps(document).encode()
-                writer.write(make_head(
-                    status, {'Content-Type': 'application/json'}, 'length',
-                    len(body)) + body)
+                writer.write(
+                    make_head(
+                        status,
+                        {'Content-Type': 'application/json'},
+                        'length',
+                        len(body),
+                    )
+                    + body
+                )
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -116,6 +137,7 @@
 
     async def _answer(self, method, path, headers, body):
         from urllib.parse import parse_qsl
+
         route, _mark, query = path.partition('?')
         query = dict(parse_qsl(query))
         prefix = query.get('path_prefix', '')
@@ -123,21 +145,32 @@
             item = self.items.get(query['key'])
             return (200, item) if item else (404, {})
         if route == '/kv-range':
-            items = [self.items[key] for key in sorted(self.items)
-                     if key.startswith(prefix) and key > query.get('after', '')]
-            return 200, {'items': items[:500], 'has_more': len(items) > 500,
-                         'store_revision': self.revision}
+            items = [
+                self.items[key]
+                for key in sorted(self.items)
+                if key.startswith(prefix) and key > query.get('after', '')
+            ]
+            return 200, {
+                'items': items[:500],
+                'has_more': len(items) > 500,
+                'store_revision': self.revision,
+            }
         if route == '/kv-watch':
             after = int(query['after'])
             until = time.monotonic() + int(query['wait_ms']) / 1000
             while True:
-                events = [event for event in self.history
-                          if event['revision'] > after
-                          and event['key'].startswith(prefix)]
+                events = [
+                    event
+                    for event in self.history
+                    if event['revision'] > after
+                    and event['key'].startswith(prefix)
+                ]
                 left = until - time.monotonic()
                 if events or left <= 0:
-                    return 200, {'events': events,
-                                 'store_revision': self.revision}
+                    return 200, {
+                        'events': events,
+                        'store_revision': self.revision,
+                    }
                 try:
                     async with asyncio.timeout(left):
                         await self.changed.wait()
@@ -176,16 +209,23 @@
         self.version = 0
 
     def note(self, text):
+        """Write a line of the record."""
         line = f'{time.monotonic() - self.began:8.3f} {text}'
         self.record_file.write(line + '\n')
         if os.environ.get('VERBOSE'):
             print(line, flush=True)
 
     async def spawn(self, arguments, name, environment=None):
+        """Start a process with a log of its own."""
         log = open(self.temp / f'{name}.log', 'ab')
         process = await asyncio.create_subprocess_exec(
-            *arguments, cwd=ROOT, stdout=log, stderr=asyncio.subprocess.STDOUT,
-            env=environment, start_new_session=True)
+            *arguments,
+            cwd=ROOT,
+            stdout=log,
+            stderr=asyncio.subprocess.STDOUT,
+            env=environment,
+            start_new_session=True,
+        )
         self.processes.append(process)
         self.note(f'started {name}')
         return process
@@ -197,26 +237,38 @@
         template = (ROOT / stated['template']).read_text()
         name = fields['node_name']
         path = self.temp / f'{name}.json'
-        path.write_text(fill_template(template, {
-            **FIELDS, 'platform': {'address': self.store.address}, **fields}))
+        path.write_text(
+            fill_template(
+                template,
+                {
+                    **FIELDS,
+                    'platform': {'address': self.store.address},
+                    **fields,
+                },
+            )
+        )
         environment = {
-            key: os.environ[key] for key in ('PATH', 'HOME', 'LANG')
-            if key in os.environ}
+            key: os.environ[key]
+            for key in ('PATH', 'HOME', 'LANG')
+            if key in os.environ
+        }
         environment['PRIMROSEWOOD_NODE_FILE'] = str(path)
         environment['PYTHONPATH'] = str(ROOT / 'target/deps')
-        return await self.spawn(
-            shlex.split(stated['run']), name, environment)
+        return await self.spawn(shlex.split(stated['run']), name, environment)
 
     async def start_entry(self, number, zone='z1'):
         """Start an entry with a host of its own; return its process."""
         ip = f'{self.net}.1.{number}'
         fields = {
-            'node_name': f'edge-{number}', 'ip': ip, 'zone': zone,
+            'node_name': f'edge-{number}',
+            'ip': ip,
+            'zone': zone,
             'port_range': [self.port + 3, self.port + 18],
             'listen_addrs': {
                 'front': f'{ip}:{self.port}',
                 'ready_addr': f'{ip}:{self.port + 1}',
-                'control_addr': f'{ip}:{self.port + 2}'},
+                'control_addr': f'{ip}:{self.port + 2}',
+            },
         }
         process = await self.start_role('entry', fields)
         process.front = (ip, self.port)
@@ -224,49 +276,87 @@
         return process
 
     async def start_endpoint(self, number, service, app, ip, zone='z1'):
+        """Start the process beside an engine."""
         fields = {
-            'node_name': f'side-{number}', 'ip': ip, 'zone': zone,
+            'node_name': f'side-{number}',
+            'ip': ip,
+            'zone': zone,
             'port_range': [self.port + 3, self.port + 18],
             'seeds': [f'{self.net}.1.1:{self.port + 2}'],
-            'app': app, 'service': service,
+            'app': app,
+            'service': service,
         }
         return await self.start_role('endpoint', fields)
 
     async def start_server(self, number, **options):
         """Start a back end with a host of its own; return its process."""
         options = {
-            'name': f'i-{number}', 'host': f'{self.net}.2.{number}',
-            'port': self.port, 'log': str(self.temp / f'i-{number}.jsonl'),
-            **options}
+            'name': f'i-{number}',
+            'host': f'{self.net}.2.{number}',
+            'port': self.port,
+            'log': str(self.temp / f'i-{number}.jsonl'),
+            **options,
+        }
         process = await self.spawn(
             [sys.executable, str(HERE / 'server.py'), json.dumps(options)],
-            options['name'])
+            options['name'],
+        )
         process.options = options
-        process.address = f"{options['host']}:{options['port']}"
-        for _ in range(100):
+        process.address = f'{options["host"]}:{options["port"]}'
+        for _ in range(1000):
             if await can_connect(options['host'], options['port']):
                 return process
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.01)
         raise RuntimeError('a stand-in did not start')
 
     def register(self, server, service, slots, zone='z1', **fields):
-        self.store.put(f"servers/{server.options['name']}", {
-            'service': service, 'address': server.address, 'zone': zone,
-            'version': 'v1', 'slots': slots, 'state': 'ready',
-            'cold_remaining_ms': 0, 'sequence': 1,
-            'born': server.options.get('born', 1_790_000_000_000), **fields})
+        """Put the record of a back end that runs into the store."""
+        born = server.options.get('born', 1_790_000_000_000)
+        self.put_record(
+            server.options['name'],
+            service,
+            server.address,
+            slots,
+            **{'zone': zone, 'born': born, **fields},
+        )
+
+    def put_record(self, name, service, address, slots, **fields):
+        """Put a record into the store."""
+        self.store.put(
+            f'servers/{name}',
+            {
+                'service': service,
+                'address': address,
+                'zone': 'z1',
+                'version': 'v1',
+                'slots': slots,
+                'state': 'ready',
+                'cold_remaining_ms': 0,
+                'sequence': 1,
+                **fields,
+            },
+        )
 
     def configure(self, **changes):
+        """Write the next version of the configuration."""
         self.version += 3
         config = {
-            'version': self.version, 'routes': self.routes,
+            'version': self.version,
+            'routes': self.routes,
             'services': self.services,
-            'limits': {'max_header_bytes': 16384, 'max_body_bytes': 4194304,
-                       'header_timeout_ms': 10000, 'idle_timeout_ms': 60000},
-            'tenants': [{'name': TENANT, 'api_keys': [KEY]}], **changes}
+            'limits': {
+                'max_header_bytes': 16384,
+                'max_body_bytes': 4194304,
+                'header_timeout_ms': 10000,
+                'idle_timeout_ms': 60000,
+            },
+            'tenants': [{'name': TENANT, 'api_keys': [KEY]}],
+            **changes,
+        }
         self.store.put('op/config', config)
 
     async def wait_ready(self, entry, seconds=20):
+        """Wait until an entry says that it is ready."""
         for _ in range(int(seconds / 0.1)):
             try:
                 answer = await call(entry.ready, 'GET', '/readyz', {})
@@ -290,9 +380,11 @@
         return sorted(rows, key=lambda row: row['t'])
 
     def read_log(self, name):
+        """Return the log of a process."""
         return (self.temp / f'{name}.log').read_text(errors='replace')
 
     async def close(self):
+        """End all processes."""
         for process in self.processes:
             if process.returncode is None:
                 for number in (signal.SIGCONT, signal.SIGKILL):
@@ -310,6 +402,7 @@
 
 
 async def can_connect(host, port):
+    """Return whether something listens at an address."""
     try:
         _reader, writer = await asyncio.open_connection(host, port)
     except OSError:
@@ -325,8 +418,7 @@
         try:
             for port in range(first, first + 20):
                 with socket.socket() as probe:
-                    probe.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     probe.bind(('127.0.0.1', port))
         except OSError:
             continue
@@ -339,6 +431,7 @@
 
     ``play`` gets the deployment and returns whether the rule was broken.
     """
+
     async def main():
         loop = asyncio.get_running_loop()
         task = asyncio.current_task()
@@ -363,14 +456,20 @@
     os._exit(code)
 
 
-async def call(address, method, path, headers, body=b'', seconds=60,
-               on_event=None):
+async def call(
+    address, method, path, headers, body=b'', seconds=60, on_event=None
+):
     """Send one request on a channel of its own; return what came.
 
     ``whole`` tells whether the answer looks complete to the caller.
     """
-    answer = {'status': 0, 'headers': {}, 'body': b'', 'whole': False,
-              'error': ''}
+    answer = {
+        'status': 0,
+        'headers': {},
+        'body': b'',
+        'whole': False,
+        'error': '',
+    }
     reader, writer = await asyncio.open_connection(*address, limit=2**22)
     try:
         async with asyncio.timeout(seconds):
@@ -422,34 +521,57 @@
 
 
 def stream_headers(attempt, tokens=(1000, 400), deadline_ms=39000):
+    """Return the headers of a generation."""
     return {
-        'Primrosewood-Attempt-Id': attempt, 'Primrosewood-Model': 'm',
+        'Primrosewood-Attempt-Id': attempt,
+        'Primrosewood-Model': 'm',
         'Primrosewood-Token-Usage': f'{tokens[0]},{tokens[1]}',
         'Primrosewood-Prefix-Hash': f'{attempt}:{tokens[0]}',
         'Primrosewood-Deadline-Ms': deadline_ms,
-        'Authorization': f'Bearer {KEY}'}
+        'Authorization': f'Bearer {KEY}',
+    }
 
 
 def plain_headers(attempt, deadline_ms=2500):
+    """Return the headers of a plain request."""
     return {
         'Primrosewood-Attempt-Id': attempt,
         'Primrosewood-Deadline-Ms': deadline_ms,
-        'Authorization': f'Bearer {KEY}'}
+        'Authorization': f'Bearer {KEY}',
+    }
 
 
 def count_events(answer):
+    """Return how many events of a stream have come."""
     return answer['body'].count(b'id: ')
 
 
 def make_route(name, prefix, kind, service, timeout_ms, goal_ms, **fields):
+    """Return a route of the configuration."""
     return {
-        'name': name, 'host': HOST, 'path_prefix': prefix, 'route_kind': kind,
-        'service': service, 'timeout_ms': timeout_ms, 'goal_ms': goal_ms,
-        'max_attempts': 2 if kind == 'idempotent' else 1, 'priority': 1,
-        **fields}
+        'name': name,
+        'host': HOST,
+        'path_prefix': prefix,
+        'route_kind': kind,
+        'service': service,
+        'timeout_ms': timeout_ms,
+        'goal_ms': goal_ms,
+        'max_attempts': 2 if kind == 'idempotent' else 1,
+        'priority': 1,
+        **fields,
+    }
 
 
 def engine_service(name, slots=24):
-    return {'name': name, 'cold_per_s': 36, 'health_path': '/healthz',
-            'engine': {'slots': slots, 'kv_capacity': 34310, 'stride': 4,
-                       'moves': True}}
+    """Return a service of model engines."""
+    return {
+        'name': name,
+        'cold_per_s': 36,
+        'health_path': '/healthz',
+        'engine': {
+            'slots': slots,
+            'kv_capacity': 34310,
+            'stride': 4,
+            'moves': True,
+        },
+    }
--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -46,18 +46,26 @@
         self.copies = {}
 
     def note(self, what, **fields):
-        fields = {'t': round(time.time(), 4), 'server': self.o['name'],
-                  'what': what, **fields}
+        """Write a line of what was done."""
+        fields = {
+            't': round(time.time(), 4),
+            'server': self.o['name'],
+            'what': what,
+            **fields,
+        }
         self.log.write(json.dumps(fields) + '\n')
 
     async def serve(self):
+        """Listen until killed."""
         server = await asyncio.start_server(
-            self.connected, self.o['host'], self.o['port'], backlog=512)
+            self.connected, self.o['host'], self.o['port'], backlog=512
+        )
         print('listening', flush=True)
         async with server:
             await server.serve_forever()
 
     async def connected(self, reader, writer):
+        """Serve one connection."""
         try:
             while True:
                 request = await read_request(reader)
@@ -77,8 +85,9 @@
         if route == '/report':
             return await self.send_json(writer, 200, self.report())
         if route == '/healthz':
-            return await self.send_json(writer, 200, {}, {
-                'Primrosewood-Instance-Id': self.o['name']})
+            return await self.send_json(
+                writer, 200, {}, {'Primrosewood-Instance-Id': self.o['name']}
+            )
         if route == '/test':
             return await self.command(json.loads(body), writer)
         if route == '/kv-move':
@@ -88,15 +97,24 @@
         return await self.run(request, writer)
 
     def report(self):
-        runs = [[name, 1000 + run['events'], run['events'], 0]
-                for name, run in self.runs.items()]
+        """Return the load report."""
+        runs = [
+            [name, 1000 + run['events'], run['events'], 0]
+            for name, run in self.runs.items()
+        ]
         report = {
-            'stage': 'both', 'models': [], 'busy': False,
-            'sequence': self.sequence, 'queued': 0, 'running': len(runs),
+            'stage': 'both',
+            'models': [],
+            'busy': False,
+            'sequence': self.sequence,
+            'queued': 0,
+            'running': len(runs),
             'kv_used': sum(run[1] for run in runs),
-            'kv_total': self.o['kv_total'], 'cache_handles': 0,
+            'kv_total': self.o['kv_total'],
+            'cache_handles': 0,
             'state': 'ready' if self.leaves_at is None else 'draining',
-            'born': self.o['born'], 'runs': runs,
+            'born': self.o['born'],
+            'runs': runs,
         }
         if self.leaves_at is not None:
             left = max(0, self.leaves_at - time.monotonic())
@@ -120,7 +138,7 @@
         run = self.runs.get(command['id'])
         if run is None:
             return await self.send_json(writer, 404, {})
-        handle = f"{command['id']}-{run['events']}"
+        handle = f'{command["id"]}-{run["events"]}'
         if last:
             run['stopped'].set()
             self.runs.pop(command['id'], None)
@@ -140,22 +158,30 @@
         if not attempt:
             own['Primrosewood-Not-Executed'] = '1'
             return await self.send_json(writer, 400, {}, own)
-        self.note('ran', id=attempt, method=method, path=path,
-                  after=headers.get('last-event-id'),
-                  came_from=headers.get('kv-from'),
-                  tenant=headers.get('primrosewood-tenant'),
-                  body=len(body))
-        sealed = {'Primrosewood-Attempt-Id': attempt,
-                  'Primrosewood-Response-Seal': f"{self.o['name']}.{attempt}"}
+        self.note(
+            'ran',
+            id=attempt,
+            method=method,
+            path=path,
+            after=headers.get('last-event-id'),
+            came_from=headers.get('kv-from'),
+            tenant=headers.get('primrosewood-tenant'),
+            body=len(body),
+        )
+        sealed = {
+            'Primrosewood-Attempt-Id': attempt,
+            'Primrosewood-Response-Seal': f'{self.o["name"]}.{attempt}',
+        }
         if 'primrosewood-token-usage' in headers:
             return await self.stream(attempt, headers, sealed, writer)
         return await self.plain(attempt, sealed, writer)
 
     async def plain(self, attempt, sealed, writer):
+        """Run a request of a plain service."""
         o = self.o
         await asyncio.sleep(o['work'])
-        body = (attempt.encode() * (o['bytes'] // len(attempt) + 1))
-        body = body[:o['bytes']]
+        body = attempt.encode() * (o['bytes'] // len(attempt) + 1)
+        body = body[: o['bytes']]
         framing = o['framing']
         head = make_head(200, sealed, framing, len(body))
         self.note('begun', id=attempt)
@@ -164,7 +190,7 @@
         for start in range(0, len(body), size):
             if start and o['part_pause']:
                 await asyncio.sleep(o['part_pause'])
-            write_part(writer, framing, body[start:start + size])
+            write_part(writer, framing, body[start : start + size])
             await writer.drain()
         if framing == 'chunks':
             writer.write(b'0\r\n\r\n')
@@ -173,6 +199,7 @@
         return framing != 'close'
 
     async def stream(self, attempt, headers, sealed, writer):
+        """Run a generation."""
         o = self.o
         framing = 'chunks' if o['framing'] == 'length' else o['framing']
         sealed['Content-Type'] = 'text/event-stream'
@@ -190,7 +217,7 @@
                 except TimeoutError:
                     pass
                 run['events'] += 1
-                event = f"id: {run['events']}\ndata: {attempt}\n\n"
+                event = f'id: {run["events"]}\ndata: {attempt}\n\n'
                 write_part(writer, framing, event.encode())
                 await writer.drain()
         except ConnectionError:
@@ -204,6 +231,7 @@
         return framing != 'close'
 
     async def send_json(self, writer, status, document, headers=None):
+        """Answer with a document."""
         body = json.dumps(document).encode()
         fields = {'Content-Type': 'application/json', **(headers or {})}
         writer.write(make_head(status, fields, 'length', len(body)) + body)
@@ -212,6 +240,7 @@
 
 
 def make_head(status, headers, framing, length):
+    """Return the head of an answer."""
     lines = [f'HTTP/1.1 {status} X']
     lines += [f'{name}: {text}' for name, text in headers.items()]
     if framing == 'length':
@@ -224,6 +253,7 @@
 
 
 def write_part(writer, framing, part):
+    """Write a part of a body."""
     if framing == 'chunks':
         writer.write(b'%x\r\n%s\r\n' % (len(part), part))
     else:
