--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import secrets
 import signal
 import sys
@@ -149,4 +150,6 @@
     return wrong > 0
 
 
-run_case(play, FOLDER)
+# What was sent, answered and run goes to record.txt.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+run_case(play, FOLDER / 'record.txt', TROUBLE)
--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import re
@@ -26,6 +27,9 @@
 TENANT = 'tenant-1'
 HOST = 'h.example'
 
+_LIBC = ctypes.CDLL(None)
+_PR_SET_PDEATHSIG = 1
+
 # As in the sheet of hw-vloot.
 FIELDS = {
     'bounds': {
@@ -193,17 +197,16 @@
 class Lab:
     """All processes of one deployment, and the record of a run."""
 
-    def __init__(self, folder):
-        self.folder = Path(folder)
-        self.record_file = open(self.folder / 'record.txt', 'w', buffering=1)
+    def __init__(self, record, trouble):
+        self.record_file = open(record, 'w', buffering=1)
         self.temp = Path(tempfile.mkdtemp(prefix='review-'))
         self.processes = []
         self.store = Store()
-        self.port = free_port()
         # Loopback network of this run, as metrics have a fixed port.
-        self.net = f'127.{10 + os.getpid() % 200}'
+        self.net, self.net_lock = take_network()
+        self.port = free_port(f'{self.net}.0.1')
         self.began = time.monotonic()
-        self.trouble = os.environ.get('TROUBLE', '1') != '0'
+        self.trouble = trouble
         self.routes = []
         self.services = []
         self.version = 0
@@ -225,6 +228,7 @@
             stderr=asyncio.subprocess.STDOUT,
             env=environment,
             start_new_session=True,
+            preexec_fn=end_with_parent,
         )
         self.processes.append(process)
         self.note(f'started {name}')
@@ -411,7 +415,28 @@
     return True
 
 
-def free_port():
+def end_with_parent():
+    """Have this process killed as the script ends, however that comes about."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def take_network():
+    """Return the first two numbers of a network, and the socket that holds it.
+
+    Other runs at the same time get other ones.
+    """
+    for number in range(10, 250):
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((f'127.{number}.0.1', 9463))
+        except OSError:
+            lock.close()
+            continue
+        return f'127.{number}', lock
+    raise RuntimeError('no free network')
+
+
+def free_port(host):
     """Return the first of 20 ports that are free, below the ephemeral ones."""
     start = 20000 + os.getpid() * 60 % 9000
     for first in range(start, start + 2000, 20):
@@ -419,27 +444,29 @@
             for port in range(first, first + 20):
                 with socket.socket() as probe:
                     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind(('127.0.0.1', port))
+                    probe.bind((host, port))
         except OSError:
             continue
         return first
     raise RuntimeError('no free ports')
 
 
-def run_case(play, folder, seconds=115):
+def run_case(play, record, trouble, seconds=115):
     """Run a case; exit with 1 if the rule broke, 0 if it held, 2 otherwise.
 
-    ``play`` gets the deployment and returns whether the rule was broken.
+    ``play`` gets the deployment and returns whether the rule was broken;
+    ``record`` is the file for what was sent, answered and run; ``trouble``
+    tells whether there is a disruption.
     """
 
     async def main():
         loop = asyncio.get_running_loop()
         task = asyncio.current_task()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, task.cancel)
-        lab = Lab(folder)
+        lab = Lab(record, trouble)
         try:
-            await lab.store.start('127.0.0.1', lab.port)
+            await lab.store.start(f'{lab.net}.0.1', lab.port)
             async with asyncio.timeout(seconds):
                 broken = await play(lab)
             lab.note('RULE BROKEN' if broken else 'rule held')
