Believe the service of an announced engine only while nothing contradicts it

Cause: the process beside an engine joins two facts of different age. The service stands in settings that were written for the engine that stood there as the process started; name and boot come from whatever answers now. Entries took the pair for a record at once, also while the store answered and was about to name the true service. The same from a process that is started later and finds an engine, and without end while the store is away. A name and a boot of two engines could be joined as well, as the name is asked for after the reading.

Ruled out: that entries keep calling the address for the crashed engine (these calls carry its name and get 421; they are not among those that ran).

Change: a process vouches for the service in its settings only for the first engine that it sees, if nothing listened before and it looked all the while (startwitness); otherwise it announces nothing. An entry waits for the record while the store answers. While it is away, an announced engine is used only if no other back end is known to have had its address, registered or gone, and the entry read the store before that process began (addresshistory). Announcements of older builds, which do not tell, are not believed. Each decision is logged with its inputs. A name counts only between two readings of one start.

Weighed: using no engine without a record.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -2,7 +2,9 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from enum import Enum
 
+from .addresshistory import AddressHistory
 from .backendindex import BackendIndex
 from .backendstate import Backend, BackendIdentity, BackendRecord
 from .backpressure import Backpressure
@@ -11,7 +13,7 @@
 from .entrycount import EntryCount
 from .sharedlimits import ColdLimit
 
-__all__ = ('BackendSet',)
+__all__ = ('AnnouncementOutcome', 'BackendSet')
 
 # Records that expired during an outage of the key-value service are written
 # again within 2 s of its return, as the platform documents; the other 0.3 s
@@ -30,6 +32,17 @@
 _RESTORED_COLD_SECONDS = 3.0
 
 
+class AnnouncementOutcome(Enum):
+    """What becomes of a back end that announces itself."""
+
+    used = 'no record can be read'
+    known = 'it is known'
+    gone = 'its record was removed'
+    awaits_record = 'the store answers'
+    reused_address = 'another back end has had its address'
+    unseen_address = 'its process is older than the records read here'
+
+
 @dataclass(slots=True)
 class _StoreAvailability:
     """When the key-value service last failed and when it recovered.
@@ -76,6 +89,7 @@
     )
     # Announced back ends that have not registered yet.
     _announced: set[str] = field(default_factory=set)
+    _addresses: AddressHistory = field(default_factory=AddressHistory)
     _restored_at: dict[str, float] = field(default_factory=dict)
     _store_availability: _StoreAvailability = field(
         default_factory=_StoreAvailability
@@ -89,6 +103,7 @@
     def apply_record(self, record: BackendRecord, now: float) -> Backend:
         """Add or update a back end by its record, and return it."""
         self._missing.discard(record.name)
+        self._addresses.add(record, now)
         known = self._index.find(record.name)
         announced = known is not None and known.announced_at is not None
         # Announcements of older processes state no boot to compare.
@@ -111,21 +126,32 @@
             known.cold_until = now + record.cold_seconds
         return known
 
-    def announce(self, record: BackendRecord, now: float) -> bool:
-        """Add a back end that announces itself; return whether it is new.
+    def announce(
+        self, record: BackendRecord, process_began_at: float, now: float
+    ) -> AnnouncementOutcome:
+        """Add a back end that announces itself, if no record can be read.
 
         During an outage of the key-value service new engines cannot register,
-        while old ones still leave.  Without announcements, two of five engines
-        were left after 8 s, and held seven streams too many when the next one
-        left.
+        while old ones still leave.  Only a record states the service of a back
+        end for certain; what the process beside it has in its settings is taken
+        for it where the address is not known to have been another's before.
+
+        Parameters
+        ----------
+        record
+            What the process beside the back end tells of it.
+        process_began_at
+            Monotonic seconds at which that process began; it has seen this back
+            end start, and no other one at the address.
         """
-        if self._index.find(record.name) or record.name in self._removed_names:
-            return False
-        found = Backend(record, self._make_cold_limit(), announced_at=now)
-        found.cold_until = now + record.cold_seconds
-        self._index.add(found)
-        self._announced.add(record.name)
-        return True
+        outcome = self._judge(record, process_began_at)
+        if outcome is AnnouncementOutcome.used:
+            found = Backend(record, self._make_cold_limit(), announced_at=now)
+            found.cold_until = now + record.cold_seconds
+            self._index.add(found)
+            self._addresses.add(record, now)
+            self._announced.add(record.name)
+        return outcome
 
     def remove(self, name: str, now: float) -> bool:
         """Handle the removal of a record; return whether it applies at once.
@@ -146,6 +172,8 @@
     def record_store_result(self, answered: bool, now: float) -> None:
         """Record whether the key-value service answered a call."""
         availability = self._store_availability
+        if answered:
+            self._addresses.begin(now)
         if answered and not availability.answering:
             availability.answering_since = now
         if not answered:
@@ -249,6 +277,24 @@
         )
         return recent or now < backend.cold_until
 
+    def _judge(
+        self, record: BackendRecord, process_began_at: float
+    ) -> AnnouncementOutcome:
+        """Decide whether an announced back end is used."""
+        if self._index.find(record.name):
+            return AnnouncementOutcome.known
+        if record.name in self._removed_names:
+            return AnnouncementOutcome.gone
+        if self._store_availability.answering:
+            return AnnouncementOutcome.awaits_record
+        if self._addresses.was_of_another(record):
+            return AnnouncementOutcome.reused_address
+        # One that had the address before may have gone before this process
+        # read any record; the process beside it knows of none since it began.
+        if process_began_at < self._addresses.since:
+            return AnnouncementOutcome.unseen_address
+        return AnnouncementOutcome.used
+
     def _make_cold_limit(self) -> ColdLimit:
         rounding = 1 if self.random is None else 1 - self.random.random()
         return ColdLimit(self.entries, rounding, self.started_at)
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -21,10 +21,16 @@
 from .link import Link
 from .logs import log_decision, log_event
 from .metrics import Metrics
-from .movableengine import EngineLocation, EngineReading, MovableEngine
+from .movableengine import (
+    EngineAbsentError,
+    EngineLocation,
+    EngineReading,
+    MovableEngine,
+)
 from .movequeries import EntryLinks
 from .peerlink import PeerServer
 from .runstops import RunStopper
+from .startwitness import StartWitness
 from .timers import wait_until_set
 from .waitingcalls import WaitingCalls
 
@@ -58,8 +64,6 @@
     ----------
     server
         Links to entries; has to be set before `run`.
-    found
-        Announcement of the engine, None while it is not identified.
     """
 
     def __init__(
@@ -94,10 +98,32 @@
         self._reading: EngineReading | None = None
         self._engine_reachable = asyncio.Event()
         self._identified = asyncio.Event()
+        self._engine_name = ''
+        self._witness = StartWitness()
         self._retired_until = float('-inf')
         self._stops_at = float('inf')
         self.server: PeerServer | None = None
-        self.found: wire.EngineFound | None = None
+
+    @property
+    def found(self) -> wire.EngineFound | None:
+        """Announcement of the engine, to be sent now.
+
+        None while the engine is not identified, and if the service in the
+        settings of this process may be that of an earlier engine here.
+        """
+        reading = self._reading
+        if reading is None or not self._engine_name:
+            return None
+        if not self._witness.vouches_for(reading.boot):
+            return None
+        return wire.EngineFound(
+            name=self._engine_name,
+            address=self._engine.address,
+            service=self._location.service,
+            failure_domain=self._location.failure_domain,
+            boot=reading.boot,
+            process_seconds=self._clock.monotonic() - self._witness.began_at,
+        )
 
     @property
     def moving(self) -> bool:
@@ -126,9 +152,14 @@
             started_at = self._clock.monotonic()
             try:
                 reading = await self._engine.read()
+            except EngineAbsentError as error:
+                self._witness.record_absence(self._clock.monotonic())
+                self._handle_engine_lost(error)
             except BackendCutError as error:
+                self._witness.record_silence(self._clock.monotonic())
                 self._handle_engine_lost(error)
             except BackendPausedError:
+                self._witness.record_silence(self._clock.monotonic())
                 # The last report stays in force.
                 self._send_report_if_due()
             else:
@@ -166,11 +197,11 @@
         while True:
             await self._engine_reachable.wait()
             await self._identify_engine()
-            if self.found is None:
-                await asyncio.sleep(_IDENTIFY_RETRY_SECONDS)
-            else:
+            if self._engine_name:
                 self._engine_reachable.clear()
                 self._identified.set()
+            else:
+                await asyncio.sleep(_IDENTIFY_RETRY_SECONDS)
 
     async def wait_identified(self, seconds: float) -> None:
         """Wait until the engine is identified, at most some seconds."""
@@ -237,7 +268,7 @@
         self.server.send_to_some(message, _MAX_ASKED_ENTRIES, exclude=exclude)
 
     def _get_engine_name(self) -> str:
-        return self.found.name if self.found else ''
+        return self._engine_name
 
     def _announce_stop(
         self, query: wire.StopQuery, holder: Link | None
@@ -245,20 +276,30 @@
         return self.server.announce_stop(query, holder)
 
     async def _identify_engine(self) -> None:
+        """Learn the name of the engine that the last reading is of.
+
+        Another engine may take the address before the name is asked for, so
+        that a second reading has to be of the same start.
+        """
+        before = self._reading
         try:
             name = await self._engine.identify()
+            after = await self._engine.read()
         except (BackendCutError, BackendPausedError) as error:
             log_event('engine_unnamed', why=error)
             return
-        if self._reading is None:
-            # The engine was lost meanwhile; another one may take its address.
+        # It may have been lost meanwhile.
+        starts = {each and each.boot for each in (before, after, self._reading)}
+        if len(starts) > 1 or None in starts:
+            log_event('engine_unnamed', why='another start answers')
             return
-        self.found = wire.EngineFound(
-            name=name,
-            address=self._engine.address,
+        self._engine_name = name
+        log_decision(
+            'engine_identified',
+            endpoint=name,
+            boot=after.boot,
             service=self._location.service,
-            failure_domain=self._location.failure_domain,
-            boot=self._reading.boot,
+            vouched=self._witness.vouches_for(after.boot),
         )
 
     def _handle_engine_lost(self, error: BackendCutError) -> None:
@@ -266,7 +307,7 @@
             log_event('engine_lost', 'WARNING', why=error)
         self._mover.handle_engine_lost()
         self._reading = None
-        self.found = None
+        self._engine_name = ''
         self._engine_reachable.clear()
         self._identified.clear()
         self._token_time = TokenTimeEstimator()
@@ -299,8 +340,13 @@
     def _handle_reading(
         self, reading: EngineReading, started_at: float
     ) -> None:
+        self._witness.record_start(reading.boot, self._clock.monotonic())
+        if self._reading is not None and self._reading.boot != reading.boot:
+            self._handle_engine_lost(BackendCutError('another start answers'))
         if self._reading is None:
-            log_event('engine_found', address=self._engine.address)
+            log_event(
+                'engine_found', address=self._engine.address, boot=reading.boot
+            )
             self._engine_reachable.set()
         reading = self._with_retirement(reading, started_at)
         was_leaving = self._reading and self._reading.state.leaving
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -8,7 +8,7 @@
 
 from . import gen_wire as wire
 from .addresses import parse_address
-from .backendset import BackendSet
+from .backendset import AnnouncementOutcome, BackendSet
 from .backendstate import Backend, BackendIdentity, BackendRecord
 from .clock import Clock
 from .codec import Message
@@ -33,6 +33,8 @@
 # Endpoint processes that forward the announcement of an engine. Several do, as
 # one may be partitioned from some entries or leave at that moment.
 _ANNOUNCEMENT_COPIES = 3
+# Announced engines that are not used, whose reasons are kept.
+_MAX_REFUSALS = 1024
 # Processes that forward the end of a back end.
 _CRASH_COPIES = 2
 # Processes that keep this entry's retries; some of them may be lost with it.
@@ -103,6 +105,8 @@
         # Start of the engine beside each process, once it was reported.
         self._boots: dict[str, int] = {}
         self._unlisted_since: dict[str, float] = {}
+        # Why announced engines are not used, by name.
+        self._refusals: dict[str, AnnouncementOutcome] = {}
         self._update_scheduled = False
         self._rechecked_at = float('-inf')
 
@@ -172,9 +176,10 @@
         ]
 
     def register_engine(self, found: wire.EngineFound) -> bool:
-        """Add an announced engine; return whether it was unknown before."""
+        """Add an announced engine if it may be used; return whether it was."""
         engine = self._tables.engine_traits(found.service)
-        if engine is None:
+        # Processes of older builds announce whatever answers at the address.
+        if engine is None or found.process_seconds < 0:
             return False
         try:
             parse_address(found.address)
@@ -192,16 +197,15 @@
             cold_seconds=_ANNOUNCED_COLD_SECONDS,
             boot=found.boot,
         )
-        is_new = self._backends.announce(record, self._clock.monotonic())
-        if is_new:
-            log_event(
-                'endpoint_announced',
-                endpoint=found.name,
-                address=found.address,
-                failure_domain=found.failure_domain,
-            )
+        now = self._clock.monotonic()
+        outcome = self._backends.announce(
+            record, now - found.process_seconds, now
+        )
+        self._log_announcement(found, outcome)
+        if outcome is AnnouncementOutcome.used:
             self.update()
-        return is_new
+            return True
+        return False
 
     def send_to_one(self, message: Message) -> bool:
         """Send a message on one of the links, in rotation.
@@ -278,6 +282,29 @@
         ):
             self._send_to_some(message, _ANNOUNCEMENT_COPIES)
 
+    def _log_announcement(
+        self, found: wire.EngineFound, outcome: AnnouncementOutcome
+    ) -> None:
+        """Log a decision once; processes repeat their announcements."""
+        if outcome is AnnouncementOutcome.known:
+            return
+        if self._refusals.get(found.name) is outcome:
+            return
+        if len(self._refusals) >= _MAX_REFUSALS:
+            self._refusals.pop(next(iter(self._refusals)))
+        self._refusals[found.name] = outcome
+        used = outcome is AnnouncementOutcome.used
+        log_decision(
+            'endpoint_announced' if used else 'announcement_refused',
+            endpoint=found.name,
+            service=found.service,
+            address=found.address,
+            failure_domain=found.failure_domain,
+            boot=found.boot,
+            process_seconds=found.process_seconds,
+            why=outcome.value,
+        )
+
     def _send_to_some(self, message: Message, limit: int) -> bool:
         """Send on some links; return whether any of them is connected.
 
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -298,7 +298,10 @@
     """
     host:port
     """
-    service: str
+    service: Annotated[str, Meta(description='Service in the settings of the process.')]
+    """
+    Service in the settings of the process.
+    """
     failure_domain: str
     boot: (
         Annotated[
@@ -313,6 +316,18 @@
     """
     Which start of its process this is; 0 if the sender does not know it.
     """
+    process_seconds: (
+        Annotated[
+            float,
+            Meta(
+                description='For how long the process has looked at the address; it saw this engine start and no other one. Negative from older processes, which announce any engine.'
+            ),
+        ]
+        | UnsetType
+    ) = -1
+    """
+    For how long the process has looked at the address; it saw this engine start and no other one. Negative from older processes, which announce any engine.
+    """
 
 
 class EngineReport(Struct, array_like=True):
--- a/primrosewood/movableengine.py
+++ b/primrosewood/movableengine.py
@@ -4,9 +4,19 @@
 from typing import Protocol
 
 from .backendstate import EngineState
+from .errors import BackendCutError
 from .moves import EngineRun
 
-__all__ = ('EngineLocation', 'EngineReading', 'MovableEngine')
+__all__ = (
+    'EngineAbsentError',
+    'EngineLocation',
+    'EngineReading',
+    'MovableEngine',
+)
+
+
+class EngineAbsentError(BackendCutError):
+    """Nothing listens at the address of the engine."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +49,8 @@
 
         Raises
         ------
+        EngineAbsentError
+            Nothing listens at its address.
         BackendCutError
             The engine does not answer.
         BackendPausedError
--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -35,7 +35,7 @@
     prevent_resend,
 )
 from ..httpserver import split_address
-from ..movableengine import EngineReading
+from ..movableengine import EngineAbsentError, EngineReading
 from ..moves import EngineRun
 from . import headers
 from .numbers import BoundedInteger
@@ -462,6 +462,10 @@
                     method, f'http://{self._address}{path}', json=payload
                 ) as response:
                     return await self._read_response(response)
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                raise EngineAbsentError('nothing listens') from error
+            raise BackendCutError(type(error).__name__) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise BackendCutError(type(error).__name__) from error
 
--- a/primrosewood/requesttrace.py
+++ b/primrosewood/requesttrace.py
@@ -23,10 +23,13 @@
         'stop_ordered',
     )
 )
-_ENGINE_EVENTS = frozenset(('engine_found', 'engine_leaves', 'engine_lost'))
+_ENGINE_EVENTS = frozenset(
+    ('engine_found', 'engine_identified', 'engine_leaves', 'engine_lost')
+)
 # State of one back end or of its limit, as an entry sees it.
 _BACK_END_EVENTS = frozenset(
     (
+        'announcement_refused',
         'endpoint_announced',
         'endpoint_changed',
         'endpoint_in',
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -42,6 +42,8 @@
     cold_factor=1.5,
     cold_slack=5,
 )
+# From the start of an endpoint node until its engine listens.
+_VM_START_SECONDS = 0.4
 # Headers with the API key, and those of a request for a generation.
 KEY_HEADERS = {'Authorization': 'Bearer key-1'}
 GENERATION_HEADERS = {'Primrosewood-Token-Usage': '1000,80', **KEY_HEADERS}
@@ -157,14 +159,10 @@
         await self.put(f'servers/{name}', record)
 
     async def add_engine(self, name, host, seeds=(), register=True):
-        """Start an engine and its endpoint node."""
+        """Start an engine and its endpoint node, on a new VM the node first."""
         address = f'{host}:{free_port()}'
         engine = EngineStandIn(name, address, self.copies)
         self.engines[name] = engine
-        site = await self.serve(engine.handle, address)
-        engine.stop_listening = site.stop
-        if register:
-            await self.register(name, 'model', address)
         settings = self.make_settings(
             f'side-{name}',
             host,
@@ -172,6 +170,12 @@
             seeds=list(seeds),
         )
         self.run_node(EndpointNode(settings), asyncio.Event())
+        if not register:
+            await asyncio.sleep(_VM_START_SECONDS)
+        site = await self.serve(engine.handle, address)
+        engine.stop_listening = site.stop
+        if register:
+            await self.register(name, 'model', address)
 
     def make_settings(self, name, host, **fields):
         return NodeSettings(
--- a/tests/test_backendset.py
+++ b/tests/test_backendset.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from primrosewood.backendset import BackendSet
+from primrosewood.backendset import AnnouncementOutcome, BackendSet
 from primrosewood.backendstate import BackendRecord, EngineState
 from primrosewood.entrycount import EntryCount
 
@@ -98,7 +98,7 @@
     def test_announced_back_end_whose_old_record_lapses(self):
         """Guards against an entry whose background work ends by an error."""
         self.backends.record_store_result(False, 100)
-        self.backends.announce(make_record('e1'), 101)
+        self.backends.announce(make_record('e1'), 100, 101)
         self.backends.remove('e1', 102)
         self.backends.record_store_result(True, 103)
         self.assertEqual(['e1'], self.backends.remove_unregistered(120))
@@ -144,8 +144,13 @@
         entries that know hardly any engine after a while.
         """
         self.backends.record_store_result(answered=False, now=100)
-        self.assertTrue(self.backends.announce(make_record(), 101))
-        self.assertFalse(self.backends.announce(make_record(), 102))
+        outcomes = [
+            self.backends.announce(make_record(boot=3), 100, now)
+            for now in (101, 102)
+        ]
+        self.assertEqual(
+            [AnnouncementOutcome.used, AnnouncementOutcome.known], outcomes
+        )
         self.assertEqual(['e1'], self.usable_names())
         self.backends.record_store_result(answered=True, now=110)
         found = self.backends.apply_record(make_record(boot=3), 111)
@@ -153,7 +158,9 @@
         self.assertEqual([], self.backends.remove_unregistered(120))
 
     def test_announced_engine_that_never_registers_is_dropped(self):
-        self.backends.announce(make_record(), 100)
+        self.backends.record_store_result(answered=False, now=99)
+        self.backends.announce(make_record(), 99, 100)
+        self.backends.record_store_result(answered=True, now=100)
         self.assertEqual([], self.backends.remove_unregistered(101))
         self.assertEqual(['e1'], self.backends.remove_unregistered(103))
 
@@ -161,7 +168,11 @@
         """The process beside an engine announces it until it has left."""
         self.backends.apply_record(make_record(), 100)
         self.backends.remove('e1', 101)
-        self.assertFalse(self.backends.announce(make_record(), 102))
+        self.backends.record_store_result(answered=False, now=101.5)
+        self.assertEqual(
+            AnnouncementOutcome.gone,
+            self.backends.announce(make_record(), 101, 102),
+        )
         self.assertEqual([], self.usable_names())
 
     def test_record_at_an_address_that_another_engine_has_taken(self):
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -105,7 +105,9 @@
 
     def test_notice_of_an_announced_back_end_outlives_its_registration(self):
         announced = BackendRecord('e1', 's', '10.0.0.1:80', 'd1', 8)
-        self.backends.announce(announced, 99)
+        self.backends.record_store_result(answered=True, now=0)
+        self.backends.record_store_result(answered=False, now=98)
+        self.backends.announce(announced, 99, 99)
         found = self.backends.find('e1')
         found.backpressure.heed('e1', LEAVING, 100)
         self.register(boot=3)
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -18,7 +18,11 @@
     NotRunError,
 )
 from primrosewood.metrics import Metrics
-from primrosewood.movableengine import EngineLocation, EngineReading
+from primrosewood.movableengine import (
+    EngineAbsentError,
+    EngineLocation,
+    EngineReading,
+)
 from primrosewood.moves import EngineRun
 
 
@@ -90,7 +94,10 @@
 
 
 class FakeEngine:
-    """An engine with scripted generations and failures."""
+    """An engine with scripted generations and failures.
+
+    It starts after the process beside it has looked for it once.
+    """
 
     address = 'a:1'
     boot = 5
@@ -99,11 +106,15 @@
         self.runs = list(runs)
         self.leaving = False
         self.gone = False
+        self.started = False
         self.paused = False
         self.copies = []
         self.failures = []
 
     async def read(self):
+        if not self.started:
+            self.started = True
+            raise EngineAbsentError('nothing listens')
         if self.gone:
             raise BackendCutError('gone')
         if self.paused:
@@ -405,7 +416,7 @@
 
     async def test_paused_engine_is_not_reported_as_lost(self):
         """Guards against streams given up because their engine rests."""
-        await self.wait_for(lambda: self.keeper.last_report)
+        await self.wait_for(lambda: self.keeper.found)
         self.engine.paused = True
         self.server.broadcasts.clear()
         await self.wait_for(
@@ -507,7 +518,7 @@
         Entries repeat that it will be stopped, and may take it back.
         """
         self.server.answers = [CAPACITY_REPLY]
-        await self.wait_for(lambda: self.keeper.last_report)
+        await self.wait_for(lambda: self.keeper.found)
         self.keeper.handle(wire.EngineRetired(4.0, FakeEngine.boot), None)
         await self.wait_for(lambda: len(self.server.moves()) == 2)
         self.assertTrue(self.keeper.last_report.leaving)
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -16,7 +16,9 @@
 
 _ENGINES = 31
 _BOOT = 7
-_FOUND = wire.EngineFound('i-new', '10.1.1.99:80', 's', 'd1')
+_FOUND = wire.EngineFound(
+    'i-new', '10.1.1.99:80', 's', 'd1', boot=8, process_seconds=1
+)
 
 
 class _FakeLink:
@@ -112,6 +114,10 @@
 class AnnouncedEngineTest(_EngineViewCase):
     """What an entry sends when a new engine announces itself there."""
 
+    def setUp(self):
+        super().setUp()
+        self.backends.record_store_result(False, SystemClock().monotonic())
+
     def messages(self):
         return [each for link in self.connector.links for each in link.sent]
 
@@ -219,15 +225,18 @@
 
     def test_engines_are_offered_with_their_identity(self):
         """Guards against targets that are known by their address only."""
-        self.view.register_engine(_FOUND)
+        self.backends.record_store_result(False, SystemClock().monotonic())
+        self.view.register_engine(structs.replace(_FOUND, boot=0))
         offered = self.view.engines_with_capacity('s')
         self.assertEqual(_ENGINES, len(offered))
         self.assertEqual({_BOOT}, {each.boot for each in offered})
-        found = structs.replace(_FOUND, name='i-newer', boot=8)
+        found = structs.replace(
+            _FOUND, name='i-newer', address='10.1.1.98:80', boot=9
+        )
         self.view.register_engine(found)
         offered = self.view.engines_with_capacity('s')
         self.assertIn(
-            ('i-newer', 8), {(each.name, each.boot) for each in offered}
+            ('i-newer', 9), {(each.name, each.boot) for each in offered}
         )
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -470,7 +470,10 @@
         """It may have the new version, so it gets the trial share at most."""
         self.apply(RolloutStatus('v2', RolloutState.rolled_back, 11))
         record = BackendRecord('announced', 's', '10.0.0.9:80', 'd1', 24)
-        self.backends.announce(record, 100)
+        self.backends.record_store_result(answered=True, now=0)
+        self.backends.record_store_result(answered=False, now=99)
+        self.backends.announce(record, 100, 100)
+        self.assertIsNotNone(self.backends.find('announced'))
         self.assertEqual({'old-0'}, self.names())
 
 
