Let entries say which engine it is that leaves, and for which service

Cause: the process beside the engine asks for targets by the service in its settings, which were written for the engine before. It gets those of the wrong service, copies there, and no entry resumes a stream at a back end of another service.

Ruled out: that targets lack room, or that entries refuse the stop: with the settings of the right service the same streams go on. That a stream goes on at a wrong engine: `find_resuming` compares the service, none did.

Change: a query names the start of the asking engine only. The entry finds its record, also one that was removed while the engine still serves, and answers with service and name of the asker and the engines of that service. The process takes no reply for another start, and no service of its own: what it reports of a kept copy has the identity that the entry told. An older entry's reply names no asker and is not used: while builds are exchanged, processes of the new one move nothing until they are linked to an entry of the new one; processes of the old build are answered as before, by the record.

--- a/primrosewood/addresshistory.py
+++ b/primrosewood/addresshistory.py
@@ -1,6 +1,6 @@
 """Back ends that are known to have had an address."""
 
-from .backendstate import BackendRecord
+from .backendstate import BackendIdentity, BackendRecord
 
 __all__ = ('AddressHistory',)
 
@@ -46,6 +46,18 @@
             self._records = {record.address: starts}
             self._since = now
 
+    def find_start(self, address: str, boot: int) -> BackendIdentity | None:
+        """Return the back end that had an address in one of its starts.
+
+        None if none is known, or if several claim to be it.
+        """
+        identities = {
+            record.identity
+            for record in self._records.get(address, {}).values()
+            if record.boot == boot
+        }
+        return identities.pop() if len(identities) == 1 else None
+
     def was_of_another(self, record: BackendRecord) -> bool:
         """Return whether another start has had the address of a record."""
         starts = self._records.get(record.address, {})
--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -225,6 +225,13 @@
             return None
         return backend
 
+    def find_start(self, address: str, boot: int) -> BackendIdentity | None:
+        """Return which back end has or had an address in one of its starts.
+
+        Also known of one whose record was removed, as it may still run.
+        """
+        return self._addresses.find_start(address, boot)
+
     def is_registered(self, backend: Backend) -> bool:
         """Return whether this very start of a back end is registered."""
         return self._index.find(backend.name) is backend
--- a/primrosewood/enginekeeper.py
+++ b/primrosewood/enginekeeper.py
@@ -84,11 +84,15 @@
             announce_stop=self._announce_stop,
             report_copy=self._report_copy,
         )
-        self._stopper = RunStopper(
-            engine, location, clock, metrics, links, self._get_engine_name
-        )
+        self._stopper = RunStopper(engine, clock, metrics, links)
         self._mover = EngineMover(
-            engine, location, clock, metrics, random, links, self._stopper
+            engine,
+            location.failure_domain,
+            clock,
+            metrics,
+            random,
+            links,
+            self._stopper,
         )
         self._reports = EngineReports()
         self._token_time = TokenTimeEstimator()
@@ -267,9 +271,6 @@
     ) -> None:
         self.server.send_to_some(message, _MAX_ASKED_ENTRIES, exclude=exclude)
 
-    def _get_engine_name(self) -> str:
-        return self._engine_name
-
     def _announce_stop(
         self, query: wire.StopQuery, holder: Link | None
     ) -> bool:
--- a/primrosewood/enginemover.py
+++ b/primrosewood/enginemover.py
@@ -14,9 +14,9 @@
 )
 from .expectedends import ExpectedEnds
 from .link import Link
-from .logs import log_event
+from .logs import log_decision, log_event
 from .metrics import Metrics
-from .movableengine import EngineLocation, EngineReading, MovableEngine
+from .movableengine import EngineReading, MovableEngine
 from .movequeries import EntryLinks, TargetReply
 from .moves import (
     EngineRun,
@@ -55,7 +55,7 @@
     def __init__(
         self,
         engine: MovableEngine,
-        location: EngineLocation,
+        failure_domain: str,
         clock: Clock,
         metrics: Metrics,
         random: RandomSource,
@@ -64,7 +64,7 @@
     ) -> None:
         """Create a mover that has no reading of the engine yet."""
         self._engine = engine
-        self._location = location
+        self._failure_domain = failure_domain
         self._clock = clock
         self._metrics = metrics
         self._random = random
@@ -74,6 +74,8 @@
         self._mean_copy_seconds = _INITIAL_COPY_SECONDS
         self._reading: EngineReading | None = None
         self._source_boot = 0
+        # Which engine this is, as an entry told for this start of it.
+        self._source: BackendIdentity | None = None
         self._capacity_reply: asyncio.Future[list[MoveTarget]] | None = None
         self._target_reply = TargetReply()
         # Names of generations that need no further move.
@@ -151,11 +153,22 @@
         self._postponed.clear()
 
     def _handle_capacity(self, message: wire.CapacityReply) -> None:
-        targets = _read_targets(self._location.service, message)
-        # An entry that has just started knows no engines yet; wait for another
-        # entry's reply.
+        # An entry that has just started knows no engines yet, nor this one;
+        # wait for another entry's reply.
+        source = _read_source(message)
+        if source is None or source.boot != self._source_boot:
+            return
+        targets = _read_targets(source.service, message)
         if not targets:
             return
+        if self._source != source:
+            log_decision(
+                'engine_registered',
+                endpoint=source.name,
+                service=source.service,
+                boot=source.boot,
+            )
+            self._source = source
         if self._capacity_reply is not None and not self._capacity_reply.done():
             self._capacity_reply.set_result(targets)
 
@@ -178,7 +191,7 @@
         return choose_move_target(
             run,
             targets,
-            self._location.failure_domain,
+            self._failure_domain,
             draw=self._random.random(),
             short_notice=self._is_short_of_time(),
         )
@@ -207,7 +220,7 @@
 
     async def _request_free_capacity(self) -> list[MoveTarget]:
         self._capacity_reply = asyncio.get_running_loop().create_future()
-        query = wire.CapacityQuery(self._location.service)
+        query = wire.CapacityQuery('', self._source_boot)
         self._links.query_entries(query)
         try:
             async with asyncio.timeout(_REPLY_TIMEOUT_SECONDS):
@@ -258,20 +271,20 @@
 
     async def _copy_and_stop(self, run: EngineRun, target: MoveTarget) -> None:
         started = self._clock.monotonic()
-        boot = self._source_boot
+        source = self._require_source()
         handle = await self._engine.copy(run, target.address, last=False)
         self._require_running(run)
         takes_calls = await self._still_takes_calls(target)
         if self._stopping or not takes_calls:
             raise NotRunError(ErrorKind.leaving)
-        if not await self._stopper.ask(run, boot):
+        if not await self._stopper.ask(run, source.boot):
             self._settled.add(run.name)
             return
         if self._stopping or self._reading is None:
-            self._stopper.report_stay(run, boot)
+            self._stopper.report_stay(run, source.boot)
             raise MovePostponedError('the engine is lost')
         copy = MovedCopy(handle, target.identity, target.address)
-        await self._stopper.stop(run, copy, boot)
+        await self._stopper.stop(run, copy, source)
         self._settled.add(run.name)
         copy_seconds = self._clock.monotonic() - started
         self._mean_copy_seconds += (
@@ -279,6 +292,19 @@
         ) * _NEWEST_COPY_WEIGHT
         self._metrics.record('move', copy_seconds)
 
+    def _require_source(self) -> BackendIdentity:
+        """Return which engine this is.
+
+        Raises
+        ------
+        MovePostponedError
+            It has started anew since an entry told that.
+        """
+        source = self._source
+        if source is None or source.boot != self._source_boot:
+            raise MovePostponedError('the engine has started anew')
+        return source
+
     def _require_running(self, run: EngineRun) -> None:
         """Check that the engine still reports a generation.
 
@@ -323,6 +349,14 @@
         )
 
 
+def _read_source(message: wire.CapacityReply) -> BackendIdentity | None:
+    """Return which engine an entry takes this one for, None if for none."""
+    try:
+        return BackendIdentity(message.service, message.name, message.boot)
+    except WireError:
+        return None
+
+
 def _read_targets(
     service: str, message: wire.CapacityReply
 ) -> list[MoveTarget]:
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -357,11 +357,7 @@
             case wire.EngineReport():
                 self._handle_report(address, message)
             case wire.CapacityQuery():
-                link.send(
-                    wire.CapacityReply(
-                        self.engines_with_capacity(message.service)
-                    )
-                )
+                self._answer_capacity_query(address, message, link)
             case wire.TargetQuery():
                 self._answer_target_query(message, link)
             case wire.EngineFound():
@@ -373,6 +369,25 @@
             case _:
                 self._handle_other(message, link)
 
+    def _answer_capacity_query(
+        self, address: str, query: wire.CapacityQuery, link: Link
+    ) -> None:
+        """Tell which engines have room for generations of the asking one.
+
+        Its service is that of its record: the process beside it may have been
+        started for another engine.
+        """
+        boot = query.boot or self._boots.get(address, 0)
+        asker = self._backends.find_start(address, boot)
+        if asker is None:
+            log_event('asker_unknown', 'WARNING', address=address, boot=boot)
+            link.send(wire.CapacityReply([]))
+            return
+        engines = self.engines_with_capacity(asker.service)
+        link.send(
+            wire.CapacityReply(engines, asker.service, asker.name, asker.boot)
+        )
+
     def _answer_target_query(self, query: wire.TargetQuery, link: Link) -> None:
         """Tell whether an engine takes calls, unless it is not known here."""
         if query.name and self._backends.find(query.name) is None:
--- a/primrosewood/gen_wire.py
+++ b/primrosewood/gen_wire.py
@@ -86,7 +86,28 @@
     Asks an entry which engines have free memory for moved generations.
     """
 
-    service: str
+    service: Annotated[
+        str,
+        Meta(
+            description='Ignored. Older processes state the service in their settings; empty from newer ones.'
+        ),
+    ]
+    """
+    Ignored. Older processes state the service in their settings; empty from newer ones.
+    """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the engine beside the sender asks; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the engine beside the sender asks; 0 from older processes.
+    """
 
 
 class CapacityReply(Struct, array_like=True):
@@ -95,6 +116,40 @@
     """
 
     engines: list[EngineCapacity]
+    service: (
+        Annotated[
+            str,
+            Meta(
+                description='Service of the asking engine and of these; empty if the sender does not know which engine asks.'
+            ),
+        ]
+        | UnsetType
+    ) = ''
+    """
+    Service of the asking engine and of these; empty if the sender does not know which engine asks.
+    """
+    name: (
+        Annotated[
+            str, Meta(description='Name of the asking engine; empty as the service.')
+        ]
+        | UnsetType
+    ) = ''
+    """
+    Name of the asking engine; empty as the service.
+    """
+    boot: (
+        Annotated[
+            int,
+            Meta(
+                description='Which start of the asking engine this answers; 0 from older processes.',
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Which start of the asking engine this answers; 0 from older processes.
+    """
 
 
 class ClaimQuery(Struct, array_like=True):
--- a/primrosewood/runstops.py
+++ b/primrosewood/runstops.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from contextlib import suppress
 from dataclasses import replace
 
@@ -20,12 +20,11 @@
     NotRunError,
     PrimrosewoodError,
     RunStoppedError,
-    WireError,
 )
 from .link import Link
 from .logs import log_decision
 from .metrics import Metrics
-from .movableengine import EngineLocation, MovableEngine
+from .movableengine import MovableEngine
 from .movequeries import EntryLinks, StopConfirmation
 from .moves import EngineRun, MovedCopy
 
@@ -47,26 +46,20 @@
     ----------
     links
         Links to the entries.
-    own_name
-        Returns the name of the engine, empty while it is not known.
     """
 
     def __init__(
         self,
         engine: MovableEngine,
-        location: EngineLocation,
         clock: Clock,
         metrics: Metrics,
         links: EntryLinks,
-        own_name: Callable[[], str],
     ) -> None:
         """Create a stopper that has ordered nothing."""
         self._engine = engine
-        self._location = location
         self._clock = clock
         self._metrics = metrics
         self._links = links
-        self._own_name = own_name
         self._confirmation = StopConfirmation()
         # Links of the entries that hold the streams, by generation.
         self._holders: OrderedDict[str, Link] = OrderedDict()
@@ -152,7 +145,9 @@
             log_decision('stop_declined', request=run.name)
         return agrees
 
-    async def stop(self, run: EngineRun, copy: MovedCopy, boot: int) -> None:
+    async def stop(
+        self, run: EngineRun, copy: MovedCopy, source: BackendIdentity
+    ) -> None:
         """Stop a generation and tell the entries where it goes on.
 
         They are told in any case, as it may have stopped whatever the answer
@@ -164,8 +159,8 @@
             The generation.
         copy
             An earlier copy of it at the target.
-        boot
-            Start of the engine that runs it.
+        source
+            The engine that runs it.
 
         Raises
         ------
@@ -174,15 +169,15 @@
         NotRunError
             It was not stopped.
         """
+        boot = source.boot
         was_ordered = run.name in self._ordered
         self._ordered.add(run.name)
         try:
             handle = await self._send_order(run, copy.address)
         except RunStoppedError as error:
             self._stopped.add(run.name)
-            self._report_move(
-                run, self._find_kept_copy(error, copy, boot), boot
-            )
+            kept = MovedCopy(error.handle, source, self._engine.address)
+            self._report_move(run, kept, boot)
             raise MovePostponedError(str(error)) from error
         except (NotRunError, BackendCutError) as error:
             if not was_ordered and await self._runs_on(error, boot):
@@ -206,7 +201,6 @@
                 source=self._engine.address,
                 handle='',
                 target='',
-                service=self._location.service,
                 source_boot=boot,
             )
         )
@@ -275,21 +269,6 @@
             )
         return handle
 
-    def _find_kept_copy(
-        self, error: RunStoppedError, copy: MovedCopy, boot: int
-    ) -> MovedCopy:
-        """Return what this engine keeps of a generation that it stopped.
-
-        The earlier copy is less, but named, where the engine has no name yet.
-        """
-        try:
-            identity = BackendIdentity(
-                self._location.service, self._own_name(), boot
-            )
-        except WireError:
-            return copy
-        return MovedCopy(error.handle, identity, self._engine.address)
-
     def _report_move(self, run: EngineRun, copy: MovedCopy, boot: int) -> None:
         self._announced.pop(run.name, None)
         self._metrics.count('moves', 'moved')
@@ -307,7 +286,7 @@
                 handle=copy.handle,
                 target=copy.address,
                 target_name=copy.target.name,
-                service=self._location.service,
+                service=copy.target.service,
                 source_boot=boot,
                 target_boot=copy.target.boot,
             )
--- a/tests/processes/test_reused_addresses.py
+++ b/tests/processes/test_reused_addresses.py
@@ -39,6 +39,7 @@
 # Longer than an entry takes a store that fails for a short pause, and than a
 # process takes to announce an engine.
 _SETTLE_SECONDS = 2.5
+_NOTICE_SECONDS = 1.5
 _EVENTS = 30
 _LONG_EVENTS = 150
 
@@ -276,6 +277,25 @@
             await asyncio.sleep(_SETTLE_SECONDS)
         self.assertEqual(0, self.count_new(), self.statuses)
 
+    async def test_newcomer_leaves(self):
+        """Guards against targets of moves by the service of the one before."""
+        await self.replace('label')
+        await self.register('i-new', 'label')
+        self.engines['i-new'].events = _LONG_EVENTS
+        self.engines['i-3'].events = _LONG_EVENTS
+        await self.wait_lines('event=reports_heard', len(_ENGINE_SERVICES) + 1)
+        async with self.load():
+            await asyncio.sleep(1.5)
+            self.engines['i-new'].leaves_ms = _NOTICE_SECONDS * 1000
+            await asyncio.sleep(_NOTICE_SECONDS)
+            self.assertGreater(self.count_new(), 0)
+            self.engines['i-new'].lose_power()
+            await self.engines['i-new'].stop_listening()
+        self.assertEqual(0, self.count_wrong(), self.statuses)
+        self.assertEqual(
+            self.statuses['label', 200], self.whole['label', 200], self.whole
+        )
+
     async def test_new_machine_while_the_store_is_away(self):
         """Guards against engines that nobody calls as they cannot register."""
         self.new_service = 'guide'
--- a/tests/test_enginekeeper.py
+++ b/tests/test_enginekeeper.py
@@ -33,7 +33,11 @@
     )
 
 
-CAPACITY_REPLY = wire.CapacityReply([make_room('b:1', 20_000)])
+def make_reply(rooms):
+    """Return the reply of an entry that knows the fake engine."""
+    return wire.CapacityReply(rooms, 's', 'i-a', FakeEngine.boot)
+
+
 EMPTY_REPLY = wire.CapacityReply([])
 
 
@@ -135,6 +139,9 @@
         return f'copy-{run.name}'
 
 
+CAPACITY_REPLY = make_reply([make_room('b:1', 20_000)])
+
+
 class KeeperTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests on a keeper of an engine with two generations."""
 
@@ -219,6 +226,21 @@
         await self.wait_for(lambda: len(self.server.moves()) == 2)
         self.assertNotIn('', [target for _, target in self.server.moves()])
 
+    async def test_reply_to_an_earlier_engine(self):
+        """Guards against targets for the service that had the address."""
+        old = structs.replace(CAPACITY_REPLY, boot=FakeEngine.boot - 1)
+        nobody = structs.replace(CAPACITY_REPLY, service='', name='', boot=0)
+        self.server.answers = [old, nobody]
+        self.engine.leaving = True
+        await self.wait_for(
+            lambda: any(
+                isinstance(each, wire.CapacityQuery)
+                for each in self.server.broadcasts
+            )
+        )
+        await asyncio.sleep(0.4)
+        self.assertEqual([], self.engine.copies)
+
     async def test_capacity_reported_later_is_used(self):
         self.engine.leaving = True
         await self.wait_for(
@@ -232,7 +254,7 @@
 
     async def test_next_target_is_tried_after_a_refusal(self):
         self.server.answers = [
-            wire.CapacityReply(
+            make_reply(
                 [
                     make_room('full:1', 25_000),
                     make_room('b:1', 20_000),
@@ -250,7 +272,7 @@
         It runs on at its engine until another target has its copy.
         """
         self.server.answers = [
-            wire.CapacityReply(
+            make_reply(
                 [
                     make_room('leaves:1', 25_000),
                     make_room('b:1', 20_000),
@@ -301,7 +323,7 @@
     async def test_targets_without_an_identity(self):
         """Guards against a stream that goes on at whatever has an address."""
         self.server.answers = [
-            wire.CapacityReply(
+            make_reply(
                 [
                     wire.EngineCapacity('nameless:1', 'd1', 29_000, boot=1),
                     make_room('bootless:1', 28_000, boot=0),
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -220,6 +220,58 @@
         self.assertEqual([], self.query(name='i-99'))
 
 
+class CapacityQueryTest(_EngineViewCase):
+    """For which service an entry offers engines to a leaving one."""
+
+    def register_successor(self):
+        """Register an engine of another service at an address of this one."""
+        for number, address in ((5, '10.1.1.5:80'), (77, '10.1.1.77:80')):
+            record = BackendRecord(
+                f'i-label-{number}', 'label', address, 'd1', 24, boot=_BOOT + 1
+            )
+            self.backends.apply_record(record, 0.0)
+
+    def query(self, boot, service=''):
+        link = mock.Mock()
+        query = wire.CapacityQuery(service, boot)
+        self.connector.find('10.1.1.5').receive(query, link)
+        ((reply,), _fields) = link.send.call_args
+        return reply
+
+    def test_engine_after_another_service(self):
+        """Guards against targets of the service that had the address."""
+        self.register_successor()
+        reply = self.query(_BOOT + 1, 's')
+        self.assertEqual(
+            ('label', 'i-label-5', _BOOT + 1),
+            (reply.service, reply.name, reply.boot),
+        )
+        names = {each.name for each in reply.engines}
+        self.assertEqual({'i-label-5', 'i-label-77'}, names)
+
+    def test_engine_whose_record_is_gone(self):
+        """Guards against a leaving engine without targets.
+
+        Some lose their record before they end.
+        """
+        self.backends.remove('i-5', 0.0)
+        reply = self.query(_BOOT)
+        self.assertEqual(('s', 'i-5'), (reply.service, reply.name))
+        self.assertEqual(_ENGINES - 1, len(reply.engines))
+
+    def test_engine_that_is_not_known(self):
+        """Guards against targets by what the process beside it was told."""
+        reply = self.query(_BOOT + 1, 's')
+        self.assertEqual(wire.CapacityReply([]), reply)
+
+    def test_process_of_an_older_build(self):
+        """Guards against streams that are cut while builds are exchanged."""
+        report = wire.EngineReport(1, 0, 0, 9000, boot=_BOOT)
+        self.connector.find('10.1.1.5').receive(report, None)
+        reply = self.query(0, 's')
+        self.assertEqual(_ENGINES, len(reply.engines))
+
+
 class OfferedEngineTest(_EngineViewCase):
     """Which engines an entry offers as targets of moves."""
 
