Take a record that changes its service for that of another back end

Related path of the same cause: a belief about a back end (here: of which service it is) outlives it.

What callers would see: a back end that an entry knows by its record keeps its entry-side object when the record comes back with another service and the same boot, and calls that hold it, or that wait for its pause to end with a copy of theirs, are sent there for the old service.

Ruled out by the code that excludes them: claims and the guard against ending requests ask `is_registered`, resumption begins by `find_identity`, retries choose anew from the service's list. A record of another boot already made another object, but calls that held the old one did not see that it was gone.

Change: service and boot tell a start. The object of an earlier start is marked as gone and replaced, and a resumption that waited asks for that again.

Announcements that state no boot are used no longer, so that the exception for them goes; the test of a notice that outlives the registration states one.

Tests: test_record_that_changes_its_service and test_record_changes_its_service_while_the_engine_rests, which failed before.

--- a/primrosewood/backendset.py
+++ b/primrosewood/backendset.py
@@ -105,13 +105,12 @@
         self._missing.discard(record.name)
         self._addresses.add(record, now)
         known = self._index.find(record.name)
-        announced = known is not None and known.announced_at is not None
-        # Announcements of older processes state no boot to compare.
-        is_same_start = known is not None and (
-            known.record.boot == record.boot
-            or (announced and not known.record.boot)
-        )
-        if not is_same_start:
+        if known is not None and not _is_same_start(known, record):
+            # Calls in progress that refer to it must see that it is gone.
+            known.leaving = True
+            known.replaced = True
+            known = None
+        if known is None:
             known = Backend(
                 record,
                 self._make_cold_limit(),
@@ -352,3 +351,12 @@
             self._removed_names.popitem(last=False)
         # Calls in progress that refer to it must see that it is leaving.
         backend.leaving = True
+
+
+def _is_same_start(known: Backend, record: BackendRecord) -> bool:
+    """Return whether a record is of the start that is known under its name.
+
+    A start belongs to one service.  A name may come back under another one.
+    """
+    earlier = known.record
+    return (earlier.service, earlier.boot) == (record.service, record.boot)
--- a/primrosewood/callplacement.py
+++ b/primrosewood/callplacement.py
@@ -493,7 +493,7 @@
         since = backend.unusable_since
         last_call_at = None if since is None else since + last_calls
         overdue = last_call_at is not None and self._now() > last_call_at
-        return overdue or _left_before(backend, call)
+        return backend.replaced or overdue or _left_before(backend, call)
 
     def _list_available(self, call: DirectCall) -> Sequence[Backend]:
         return self._candidates.list_available(call.service, (), self._now())
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -178,8 +178,10 @@
     def register_engine(self, found: wire.EngineFound) -> bool:
         """Add an announced engine if it may be used; return whether it was."""
         engine = self._tables.engine_traits(found.service)
+        if engine is None:
+            return False
         # Processes of older builds announce whatever answers at the address.
-        if engine is None or found.process_seconds < 0:
+        if found.process_seconds < 0 or not found.boot:
             return False
         try:
             parse_address(found.address)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -8,6 +8,7 @@
 
 from primrosewood.answerends import AnswerEnds
 from primrosewood.backendstate import Backend, BackendRecord, EngineState
+from primrosewood.backpressure import AnswerNotice
 from primrosewood.callprogress import CallProgress
 from primrosewood.directcalls import AnswerFraming, BackendAttempt
 from primrosewood.entrycount import EntryCount
@@ -359,3 +360,21 @@
                 await self.placement.find_resuming(
                     progress, notice.copy, at_source=True
                 )
+
+    async def test_record_changes_its_service_while_the_engine_rests(self):
+        """Guards against a stream that goes on at an engine of another one."""
+        engine = self.backends.find('e1')
+        now = self.clock.monotonic()
+        for _ in range(2):
+            engine.backpressure.heed('e1', AnswerNotice(0.1), now)
+            engine.backpressure.allow_exempt_call(now)
+        notice = make_notice(BackendAttempt(engine), 'e1:80')
+        progress = CallProgress(self.make_call(RouteKind.streaming))
+        asyncio.get_running_loop().call_later(
+            0.05,
+            self.backends.apply_record,
+            replace(engine.record, service='other'),
+            now,
+        )
+        with self.assertRaises(RequestFailedError):
+            await self.placement.find_resuming(progress, notice.copy)
--- a/tests/test_backendset.py
+++ b/tests/test_backendset.py
@@ -1,6 +1,7 @@
 """An entry's view of its back ends, without any I/O."""
 
 import unittest
+from dataclasses import replace
 
 from primrosewood.backendset import AnnouncementOutcome, BackendSet
 from primrosewood.backendstate import BackendRecord, EngineState
@@ -116,6 +117,26 @@
             0, self.backends.apply_record(make_record(boot=2), 102).open_calls
         )
 
+    def test_record_that_changes_its_service(self):
+        """Guards against calls for one service under way to another one.
+
+        They were chosen before, and compare the back end that they hold.
+        """
+        for boot in (1, 2):
+            with self.subTest(boot=boot):
+                self.setUp()
+                old = self.backends.apply_record(make_record(boot=1), 100)
+                identity = old.record.identity
+                old.open_calls = 5
+                moved = replace(make_record(boot=boot), service='other')
+                new = self.backends.apply_record(moved, 101)
+                self.assertEqual([], self.backends.usable('s'))
+                self.assertEqual([new], self.backends.usable('other'))
+                self.assertIsNone(self.backends.find_identity(identity))
+                self.assertFalse(self.backends.is_registered(old))
+                self.assertTrue(old.stopping)
+                self.assertEqual(('s', 0), (old.record.service, new.open_calls))
+
     def test_stale_report_is_dropped(self):
         """The process beside an engine hangs while its engine still serves.
 
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -104,7 +104,7 @@
         self.assertTrue(self.is_usable())
 
     def test_notice_of_an_announced_back_end_outlives_its_registration(self):
-        announced = BackendRecord('e1', 's', '10.0.0.1:80', 'd1', 8)
+        announced = BackendRecord('e1', 's', '10.0.0.1:80', 'd1', 8, boot=3)
         self.backends.record_store_result(answered=True, now=0)
         self.backends.record_store_result(answered=False, now=98)
         self.backends.announce(announced, 99, 99)
