Send no calls to a record of which a later start has the address

Related path of the same cause: the record of an engine is believed for the one that came after it under its name, which may be of another service.

What callers would see: requests run by the other service, as Expect-Instance names just that engine, from the report of the later start until its record is read; without end while the store is away. A process that saw the engine go reports it as leaving, and that stands; so this needs a process that was frozen, or cut off from the entry, as the engines were exchanged. Not seen in a run of real processes; shown by the test without a network.

Ruled out by the code: other names (421), engines whose process reported the gap (`drop_stale_state` keeps that they leave).

Change: such a record counts as stale for calls, moves and targets. A report of the registered start takes it back, so that a late report of an engine whose clock was ahead does not bar its successor. Both are logged.

What remains: until the first report of the later start an entry cannot tell it from the engine of its record.

Tests: test_later_start_under_the_name_of_a_record, which failed before, and test_late_report_on_an_engine_whose_clock_was_ahead.

--- a/primrosewood/backendstate.py
+++ b/primrosewood/backendstate.py
@@ -225,12 +225,13 @@
 
     @property
     def record_is_stale(self) -> bool:
-        """Whether another back end answers at the address of its record.
+        """Whether another back end, or a later start, has its address.
 
         After a power failure, records remain until they expire, while newly
         started back ends already use their addresses.
         """
-        return self.misdirected_revision >= self.record.revision
+        misdirected = self.misdirected_revision >= self.record.revision
+        return misdirected or self.replaced
 
     @property
     def prefill_backlog(self) -> int:
--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -441,6 +441,27 @@
         backend = self._backends.find_identity(identity)
         return backend in self._backends.usable(query.service)
 
+    def _compare_starts(self, address: str, boot: int) -> None:
+        """Mark back ends of which a later start has the address.
+
+        Their names may have come back under another service.  A report of the
+        start that is registered takes back what a late report has said.
+        """
+        for backend in self._backends.list_address(address):
+            known = backend.record.boot
+            if not (boot and known):
+                continue
+            replaced = known < boot
+            if replaced is backend.replaced or known > boot:
+                continue
+            backend.replaced = replaced
+            log_event(
+                'endpoint_replaced' if replaced else 'endpoint_back',
+                endpoint=backend.name,
+                boot=known,
+                reported=boot,
+            )
+
     def _find_reported(self, address: str, boot: int) -> Backend | None:
         """Return the engine that a report is about, None if it is not known.
 
@@ -460,8 +481,7 @@
         self._any_reported = True
         self._entries.update(max(self._reported_entries.values()), now)
         backend = self._find_reported(address, report.boot)
-        for earlier in self._backends.list_address(address):
-            earlier.replaced |= 0 < earlier.record.boot < report.boot
+        self._compare_starts(address, report.boot)
         if backend is None:
             return
         backend.announces_stops = address in self._announcing
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -186,6 +186,31 @@
         self.assertTrue(successor.state.leaving)
         self.assertFalse(self.backends.find('i-5').state.leaving)
 
+    def list_usable(self):
+        return {each.name for each in self.backends.usable('s')}
+
+    def test_later_start_under_the_name_of_a_record(self):
+        """Guards against calls to an engine that came back for another service.
+
+        Its process was frozen, or cut off from this entry, as it was exchanged.
+        """
+        self.report(_BOOT + 1)
+        self.assertNotIn('i-5', self.list_usable())
+        record = BackendRecord(
+            'i-5', 'label', '10.1.1.5:80', 'd1', 24, boot=_BOOT + 1
+        )
+        self.backends.apply_record(record, 0.0)
+        self.report(_BOOT + 1)
+        usable = self.backends.usable('label')
+        self.assertEqual(['i-5'], [each.name for each in usable])
+        self.assertNotIn('i-5', self.list_usable())
+
+    def test_late_report_on_an_engine_whose_clock_was_ahead(self):
+        """Guards against an engine that gets no calls for its lifetime."""
+        self.report(_BOOT + 1)
+        self.report(_BOOT)
+        self.assertIn('i-5', self.list_usable())
+
     def test_report_without_a_start(self):
         """Guards against a report of an older process taken for either."""
         self.report(0)
