Take no answer whose head was joined with the head behind it

The users' report: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

As reported it cannot happen here. Over the whole path, plain and streamed, also if the head stands still, the caller gets an error without a seal by the timeout of the route.

Cause: the HTTP library reads repeated headers and a status line inside a header or a reason as they come, and `get` returns the first of them.

Change: an answer that states an id or a seal twice, or a protocol in its reason, belongs to no call. Not covered: answers of plain services on the product's own interface, which have neither id nor seal; there each call has its own connection.

--- a/primrosewood/platform/engines.py
+++ b/primrosewood/platform/engines.py
@@ -43,6 +43,7 @@
 __all__ = ('HttpMovableEngine', 'HttpTransport')
 
 _SCHEME = 'http://'
+_PROTOCOL = 'HTTP/'
 _MS_PER_SECOND = 1000
 # Back ends are a few milliseconds away.  If no connection is established in
 # this time, the back end is down or unreachable; no byte of the call has been
@@ -567,7 +568,11 @@
     """Tell whether a response is another back end's or to another call."""
     if response.status == HTTPStatus.MISDIRECTED_REQUEST:
         return True
-    return response.headers.get(headers.ATTEMPT_ID, call.name) != call.name
+    named = response.headers.getall(headers.ATTEMPT_ID, [call.name])
+    # A head that was cut is read as one with the head behind it.
+    seals = response.headers.getall(headers.RESPONSE_SEAL, ())
+    joined = len(seals) > 1 or _PROTOCOL in (response.reason or '')
+    return joined or named != [call.name]
 
 
 def _find_response_fault(
--- a/tests/test_platform_framing.py
+++ b/tests/test_platform_framing.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from .deployment import GENERATION_HEADERS, Deployment
+from .deployment import GENERATION_HEADERS, KEY_HEADERS, Deployment
 from .processes.harness import free_port
 
 _EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3))
@@ -93,6 +93,40 @@
         self.assertEqual((200, b'whole'), (response.status, body))
 
 
+class CutHeadTest(_RawAnswerCase):
+    """Back ends that stop inside the heads of their answers."""
+
+    async def check(self, service, method, path, headers, **ending):
+        """Check that the caller gets an error without a seal, in time."""
+        head = _HEAD.format(type='Content-Length: 5\r\n').encode()
+        await self.serve_raw(service, head[:-8], **ending)
+        response, _body = await self.call_raw(method, path, headers=headers)
+        self.assertGreaterEqual(response.status, 500)
+        self.assertNotIn('Primrosewood-Response-Seal', response.headers)
+        # The timeout of the routes, and half a second.
+        self.assertLess(self.clock() - self.called_at, 5.5)
+
+    async def test_plain_answer(self):
+        """Guards against an empty answer that looks whole."""
+        await self.check('desk', 'GET', '/lookup/', KEY_HEADERS)
+
+    async def test_plain_answer_stands_still(self):
+        """Guards against a caller who waits for the rest beyond its time."""
+        await self.check(
+            'desk', 'GET', '/lookup/', KEY_HEADERS, stays_open=True
+        )
+
+    async def test_stream(self):
+        """Guards against a stream without events that looks whole."""
+        await self.check('model', 'POST', '/guide/', GENERATION_HEADERS)
+
+    async def test_stream_stands_still(self):
+        """Guards against a caller who waits for the rest beyond its time."""
+        await self.check(
+            'model', 'POST', '/guide/', GENERATION_HEADERS, stays_open=True
+        )
+
+
 class UnframedAnswerTest(_RawAnswerCase):
     """Back ends that state no length."""
 
