Log an engine that is not known once, and test a newcomer of the same service

An engine that leaves asks for targets many times a second; an entry that does not know it wrote a line for each.

--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -104,6 +104,8 @@
         self._announcing: set[str] = set()
         # Start of the engine beside each process, once it was reported.
         self._boots: dict[str, int] = {}
+        # Starts of engines that asked for targets and are not known here.
+        self._unknown_askers: dict[str, int] = {}
         self._unlisted_since: dict[str, float] = {}
         # Why announced engines are not used, by name.
         self._refusals: dict[str, AnnouncementOutcome] = {}
@@ -146,6 +148,7 @@
                 self._reported_entries.pop(address, None)
                 self._copies.pop(address, None)
                 self._boots.pop(address, None)
+                self._unknown_askers.pop(address, None)
                 self._announcing.discard(address)
         for link in self._links.values():
             link.check_silence()
@@ -382,7 +385,11 @@
         boot = query.boot or self._boots.get(address, 0)
         asker = self._backends.find_start(address, boot)
         if asker is None:
-            log_event('asker_unknown', 'WARNING', address=address, boot=boot)
+            if self._unknown_askers.get(address) != boot:
+                self._unknown_askers[address] = boot
+                log_event(
+                    'asker_unknown', 'WARNING', address=address, boot=boot
+                )
             link.send(wire.CapacityReply([]))
             return
         engines = self.engines_with_capacity(asker.service)
--- a/tests/processes/test_reused_addresses.py
+++ b/tests/processes/test_reused_addresses.py
@@ -257,13 +257,21 @@
 
     async def test_store_is_away(self):
         """Guards against the service of settings that outlive their engine."""
+        await self.check_in_an_outage('label')
+
+    async def test_newcomer_of_the_same_service(self):
+        """Guards against a newcomer that is believed, as nothing tells it."""
+        await self.check_in_an_outage('guide')
+
+    async def check_in_an_outage(self, service):
+        """Check that a newcomer is called from its record on."""
         async with self.load():
             self.store.faults.silent = True
-            await self.replace('label')
+            await self.replace(service)
             await asyncio.sleep(_SETTLE_SECONDS)
             self.assertEqual(0, self.count_new())
             self.store.store.delete('servers/i-1')
-            await self.register('i-new', 'label')
+            await self.register('i-new', service)
             self.store.faults.silent = False
             await asyncio.sleep(_SETTLE_SECONDS + 1)
         self.assertEqual(0, self.count_wrong(), self.statuses)
