Exchange engines at used addresses in series, by seeds

Over real processes: engines crash or leave by notice, newcomers of either service take their addresses, processes beside them are started anew or frozen meanwhile, the store falls silent and returns.

--- a/tests/processes/test_reused_addresses.py
+++ b/tests/processes/test_reused_addresses.py
@@ -1,4 +1,10 @@
-"""Addresses of crashed engines go to others, beside real processes."""
+"""Addresses of crashed engines go to others, beside real processes.
+
+    PRIMROSEWOOD_ADDRESS_SEEDS="1 2 3" python -m unittest \
+        tests.processes.test_reused_addresses.SeededTest
+
+plays other seeds than that of CI.
+"""
 
 import asyncio
 import contextlib
@@ -10,6 +16,7 @@
 import unittest
 from collections import Counter
 from pathlib import Path
+from random import Random
 
 import aiohttp
 from aiohttp import web
@@ -42,9 +49,11 @@
 _NOTICE_SECONDS = 1.5
 _EVENTS = 30
 _LONG_EVENTS = 150
+_EXCHANGES = 4
+_SEED = '1'
 
 
-class ReusedAddressTest(unittest.IsolatedAsyncioTestCase):
+class _AddressCase(unittest.IsolatedAsyncioTestCase):
     """An entry before two engines of one service and one of another.
 
     A process stands beside each, and its settings never change.
@@ -69,6 +78,7 @@
         self.wanted = {}
         self.statuses = Counter()
         self.whole = Counter()
+        self.services = dict(_ENGINE_SERVICES)
         await self.start_store()
         self.entry = make_settings(name='entry-1')
         self.start_node('entry', self.entry)
@@ -129,6 +139,7 @@
         await self.store.store.put(key, json.dumps(document).encode())
 
     async def start_engine(self, name, service, host, register=True):
+        self.services[name] = service
         address = f'{host}:{self.port}'
         engine = EngineStandIn(name, address, self.copies)
         engine.born = BORN + len(self.engines)
@@ -155,7 +166,7 @@
             endpoint={'engine': f'{host}:{self.port}', 'service': service},
             seeds=[self.entry['entry']['peers']],
         )
-        self.sides[name] = self.start_node('endpoint', settings)
+        self.sides[host] = self.start_node('endpoint', settings)
 
     def start_node(self, role, settings):
         settings['store'] = self.store_address
@@ -225,22 +236,24 @@
 
     def count_wrong(self):
         """Return how many requests engines of the other service ran."""
-        services = {**_ENGINE_SERVICES, 'i-new': self.new_service}
         return sum(
-            self.wanted[call.name] != services[name]
+            self.wanted[call.name] != self.services[name]
             for name, engine in self.engines.items()
             for call in engine.ran
         )
 
+
+class ReusedAddressTest(_AddressCase):
+    """A newcomer at the address of an engine that crashed."""
+
     def count_new(self):
         return len(self.engines['i-new'].ran)
 
     async def replace(self, service, restart=False):
         """Crash an engine, and start another one at its address."""
-        self.new_service = service
         await self.crash('i-1', recorded=self.store.faults.silent)
         if restart:
-            await self.sides['i-1'].kill()
+            await self.sides[_HOSTS['i-1']].kill()
             self.start_side('i-1', _HOSTS['i-1'], _ENGINE_SERVICES['i-1'])
             await asyncio.sleep(1)
         await self.start_engine('i-new', service, _HOSTS['i-1'], register=False)
@@ -306,7 +319,6 @@
 
     async def test_new_machine_while_the_store_is_away(self):
         """Guards against engines that nobody calls as they cannot register."""
-        self.new_service = 'guide'
         async with self.load():
             self.store.faults.silent = True
             await asyncio.sleep(1.5)
@@ -318,6 +330,67 @@
         self.assertGreater(self.count_new(), 0)
 
 
+class SeededTest(_AddressCase):
+    """Exchanges of engines in series, with processes and store in trouble."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.standing = {_HOSTS[name]: name for name in ('i-1', 'i-2')}
+
+    async def play(self, random):
+        """Exchange engines at both addresses of one service a few times."""
+        for _ in range(_EXCHANGES):
+            host = random.choice(sorted(self.standing))
+            name = f'i-{len(self.engines) + 1}'
+            service = random.choice(_SERVICES)
+            self.store.faults.silent = random.random() < 0.5
+            await asyncio.sleep(random.uniform(0, 1.5))
+            await self.end(self.standing[host], random)
+            await self.disturb_side(host, random)
+            await self.start_engine(name, service, host, register=False)
+            await asyncio.sleep(random.uniform(0, 1.5))
+            self.standing[host] = name
+            await self.register(name, service)
+            self.store.faults.silent = random.random() < 0.3
+            await asyncio.sleep(random.uniform(0, 1.5))
+        self.store.faults.silent = False
+        await asyncio.sleep(_SETTLE_SECONDS)
+
+    async def end(self, name, random):
+        """End an engine, and its record now or when it is replaced."""
+        engine = self.engines[name]
+        if random.random() < 0.4:
+            engine.leaves_ms = _NOTICE_SECONDS * 1000
+            await asyncio.sleep(random.uniform(0, _NOTICE_SECONDS))
+        await self.crash(name, recorded=True)
+        self.store.store.delete(f'servers/{name}')
+
+    async def disturb_side(self, host, random):
+        """Leave the process at an address, start it anew, or freeze it."""
+        side = self.sides[host]
+        trouble = random.choice(('none', 'restart', 'freeze'))
+        if trouble == 'restart':
+            await side.kill()
+            self.start_side(host, host, _ENGINE_SERVICES['i-1'])
+            await asyncio.sleep(random.uniform(0, 1))
+        elif trouble == 'freeze':
+            await side.send_signal(signal.SIGSTOP)
+            asyncio.get_running_loop().call_later(
+                random.uniform(0, 3),
+                lambda: asyncio.ensure_future(side.send_signal(signal.SIGCONT)),
+            )
+
+    async def test_seeds(self):
+        """Guards against what single disturbances do not show."""
+        seeds = os.environ.get('PRIMROSEWOOD_ADDRESS_SEEDS', _SEED).split()
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                wrong = self.count_wrong()
+                async with self.load():
+                    await self.play(Random(f'{seed} addresses'))
+                self.assertEqual(wrong, self.count_wrong(), self.statuses)
+
+
 class _Process:
     """One of our programs, started as on the platform."""
 
@@ -335,11 +408,14 @@
             )
         )
 
-    async def kill(self):
+    async def send_signal(self, number):
         process = await self._starting
         if process.returncode is None:
-            process.send_signal(signal.SIGKILL)
-        await process.wait()
+            process.send_signal(number)
+
+    async def kill(self):
+        await self.send_signal(signal.SIGKILL)
+        await (await self._starting).wait()
 
 
 if __name__ == '__main__':
