Refuse announcements whose age is no number

An age that is none would have passed the comparison that keeps out processes of older builds. Test: test_announcement_without_an_age.

--- a/primrosewood/engineview.py
+++ b/primrosewood/engineview.py
@@ -33,8 +33,8 @@
 # Endpoint processes that forward the announcement of an engine. Several do, as
 # one may be partitioned from some entries or leave at that moment.
 _ANNOUNCEMENT_COPIES = 3
-# Announced engines that are not used, whose reasons are kept.
-_MAX_REFUSALS = 1024
+# Announced engines of which it is kept what became of them.
+_MAX_OUTCOMES = 1024
 # Processes that forward the end of a back end.
 _CRASH_COPIES = 2
 # Processes that keep this entry's retries; some of them may be lost with it.
@@ -107,8 +107,8 @@
         # Starts of engines that asked for targets and are not known here.
         self._unknown_askers: dict[str, int] = {}
         self._unlisted_since: dict[str, float] = {}
-        # Why announced engines are not used, by name.
-        self._refusals: dict[str, AnnouncementOutcome] = {}
+        # What became of announced engines, by name; logged when it changes.
+        self._announcement_outcomes: dict[str, AnnouncementOutcome] = {}
         self._update_scheduled = False
         self._rechecked_at = float('-inf')
 
@@ -184,7 +184,8 @@
         if engine is None:
             return False
         # Processes of older builds announce whatever answers at the address.
-        if found.process_seconds < 0 or not found.boot:
+        is_from_older_build = not (found.process_seconds >= 0 and found.boot)
+        if is_from_older_build:
             return False
         try:
             parse_address(found.address)
@@ -293,11 +294,13 @@
         """Log a decision once; processes repeat their announcements."""
         if outcome is AnnouncementOutcome.known:
             return
-        if self._refusals.get(found.name) is outcome:
+        if self._announcement_outcomes.get(found.name) is outcome:
             return
-        if len(self._refusals) >= _MAX_REFUSALS:
-            self._refusals.pop(next(iter(self._refusals)))
-        self._refusals[found.name] = outcome
+        if len(self._announcement_outcomes) >= _MAX_OUTCOMES:
+            self._announcement_outcomes.pop(
+                next(iter(self._announcement_outcomes))
+            )
+        self._announcement_outcomes[found.name] = outcome
         used = outcome is AnnouncementOutcome.used
         log_decision(
             'endpoint_announced' if used else 'announcement_refused',
--- a/tests/test_engineview.py
+++ b/tests/test_engineview.py
@@ -135,6 +135,15 @@
             self.view.handle_announcement(_FOUND, None)
         self.assertEqual(3, len(self.messages()))
 
+    def test_announcement_without_an_age(self):
+        """Guards against belief in a process that vouches for nothing."""
+        for seconds in (-1, float('-inf'), float('nan'), float('inf')):
+            with self.subTest(seconds):
+                found = structs.replace(_FOUND, process_seconds=seconds)
+                self.assertFalse(self.view.register_engine(found))
+        found = structs.replace(_FOUND, boot=0)
+        self.assertFalse(self.view.register_engine(found))
+
     def test_lost_vms_are_not_relied_on(self):
         """A zone has just lost power: its links are silent, not closed yet.
 
